Serve a job from caller to target and back

Cause: there was no path at all. Change: entry, agent, operator and stand-in programs; pure decision code with charts in JSON; batches on long-lived gRPC streams; claims and presets in the log.

--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,54 @@
+"""Runs one job of mixed tasks through real processes and prints the result."""
+
+from __future__ import annotations
+
+import sys
+import time
+
+from bench.fleet import Fleet
+from bench.fleet import TargetPlan
+from bench.fleet import call
+
+ENTRIES = 2
+TARGETS = 4
+TASKS = 60
+
+
+def demo_job() -> dict[str, object]:
+    """Return a job of quotes, which may repeat, and berth holds."""
+    tasks = [
+        {
+            "id": f"task-{index}",
+            "kind": "berth-hold" if index % 3 == 0 else "quote",
+            "idempotent": index % 3 != 0,
+            "run_ms": 50 + 10 * (index % 5),
+        }
+        for index in range(TASKS)
+    ]
+    return {
+        "submission": f"demo-{time.time_ns()}",
+        "team": "tanjung",
+        "deadline_ms": 20_000,
+        "resubmission": False,
+        "tasks": tasks,
+    }
+
+
+def main() -> None:
+    """Start the processes, run the job, print what came back."""
+    print(f"Starting a log, {ENTRIES} entries, {TARGETS} agents with targets ...")
+    with Fleet(ENTRIES, [TargetPlan()] * TARGETS) as fleet:
+        started_s = time.monotonic()
+        status, answer = call(fleet.https[0], "POST", "/v1/jobs", demo_job())
+        took_ms = 1_000 * (time.monotonic() - started_s)
+        print(f"HTTP {status}: job {answer['state']} in {took_ms:.0f} ms")
+        for outcome in answer["tasks"][:6]:
+            print(f"  {outcome['id']}: {outcome['state']}: {outcome['answer']}")
+        print(f"  ... {len(answer['tasks'])} tasks in all")
+        print(f"Starts of the most started task: {fleet.most_starts()}")
+    if answer["state"] != "complete":
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/sardineferry/console/__init__.py
@@ -0,0 +1,3 @@
+"""Command lines of the programs."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sardineferry/console/commands/__init__.py
@@ -0,0 +1,3 @@
+"""Commands of the operators' program, one a module."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sardineferry/console/commands/drain.py
@@ -0,0 +1,21 @@
+"""Drains an agent."""
+
+from __future__ import annotations
+
+from sardineferry.console.entry_client import call_entry
+from sardineferry.console.entry_client import quote
+from sardineferry.console.report import print_reply
+
+__all__ = ["drain"]
+
+
+def drain(entry: str, agent: str) -> None:
+    """Let an agent finish what runs and leave; it gets nothing new.
+
+    Args:
+        entry: The host:port of an entry's HTTP interface.
+        agent: The name of the agent.
+
+    """
+    path = f"/v1/agents/{quote(agent, safe='')}/drain"
+    print_reply(call_entry(entry, "POST", path, b"{}"))
--- /dev/null
+++ b/src/sardineferry/console/commands/submit.py
@@ -0,0 +1,26 @@
+"""Submits a job from a file."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from sardineferry.console.entry_client import call_entry
+from sardineferry.console.outcome import fail
+from sardineferry.console.report import print_reply
+
+__all__ = ["submit"]
+
+
+def submit(entry: str, job: Path) -> None:
+    """Submit a job and print its whole answer.
+
+    Args:
+        entry: The host:port of an entry's HTTP interface.
+        job: A JSON file, as docs/API.md describes.
+
+    """
+    try:
+        body = job.read_bytes()
+    except OSError as error:
+        fail(f"cannot read {job}: {error.strerror}")
+    print_reply(call_entry(entry, "POST", "/v1/jobs", body))
--- /dev/null
+++ b/src/sardineferry/console/entry.py
@@ -0,0 +1,42 @@
+"""The ``sardineferry-entry`` program."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import cyclopts
+from returns.pipeline import is_successful
+
+from sardineferry.console.outcome import fail
+from sardineferry.console.outcome import fail_settings
+from sardineferry.factory import build_entry
+from sardineferry.http_server import HttpError
+from sardineferry.settings import load_entry_settings
+from sardineferry.transport.listener import ListenerError
+
+__all__ = ["main"]
+
+application = cyclopts.App(name="sardineferry-entry")
+
+
+@application.default
+def run(settings: Path) -> None:
+    """Serve callers behind the balancer.
+
+    Args:
+        settings: The JSON settings file.
+
+    """
+    loaded = load_entry_settings(settings)
+    if not is_successful(loaded):
+        fail_settings(loaded.failure())
+    try:
+        process = build_entry(loaded.unwrap())
+    except (HttpError, ListenerError) as error:
+        fail(str(error))
+    process.run()
+
+
+def main() -> None:
+    """Run the program."""
+    application()
--- /dev/null
+++ b/src/sardineferry/console/entry_client.py
@@ -0,0 +1,37 @@
+"""Calls an entry's HTTP interface for the operators' program."""
+
+from __future__ import annotations
+
+import http.client
+from typing import NamedTuple
+from urllib.parse import quote
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+__all__ = ["EntryReply", "call_entry", "quote"]
+
+TIMEOUT_S = 320.0
+
+
+class EntryReply(NamedTuple):
+    """A status and a body of JSON text."""
+
+    status: int
+    text: str
+
+
+def call_entry(
+    address: str, method: str, path: str, body: bytes | None = None
+) -> Result[EntryReply, str]:
+    """Make one request to an entry at ``host:port``."""
+    connection = http.client.HTTPConnection(address, timeout=TIMEOUT_S)
+    try:
+        connection.request(method, path, body)
+        response = connection.getresponse()
+        return Success(EntryReply(response.status, response.read().decode()))
+    except (OSError, http.client.HTTPException) as error:
+        return Failure(f"entry {address} cannot be reached: {error!r}")
+    finally:
+        connection.close()
--- /dev/null
+++ b/src/sardineferry/console/outcome.py
@@ -0,0 +1,30 @@
+"""Ends a command on an error, with one line for each."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+from typing import NoReturn
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sardineferry.settings import SettingsError
+
+__all__ = ["fail", "fail_settings"]
+
+EXIT_FAILURE = 1
+EXIT_SETTINGS = 2
+
+
+def fail(reason: str) -> NoReturn:
+    """Print a reason to standard error and exit."""
+    sys.stderr.write(f"error: {reason}\n")
+    sys.exit(EXIT_FAILURE)
+
+
+def fail_settings(errors: Iterable[SettingsError]) -> NoReturn:
+    """Print every error of a settings file and exit."""
+    for error in errors:
+        sys.stderr.write(f"error: {error.path}: {error.reason}\n")
+    sys.exit(EXIT_SETTINGS)
--- /dev/null
+++ b/src/sardineferry/console/report.py
@@ -0,0 +1,31 @@
+"""Prints an entry's reply; a status other than success ends the command."""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import TYPE_CHECKING
+
+from returns.pipeline import is_successful
+
+from sardineferry.console.outcome import EXIT_FAILURE
+from sardineferry.console.outcome import fail
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from sardineferry.console.entry_client import EntryReply
+
+__all__ = ["print_reply"]
+
+HTTP_BAD_REQUEST = 400
+
+
+def print_reply(result: Result[EntryReply, str]) -> None:
+    """Print the reply as indented JSON."""
+    if not is_successful(result):
+        fail(result.failure())
+    reply = result.unwrap()
+    sys.stdout.write(json.dumps(json.loads(reply.text), indent=2) + "\n")
+    if reply.status >= HTTP_BAD_REQUEST:
+        sys.exit(EXIT_FAILURE)
--- /dev/null
+++ b/src/sardineferry/core_loop.py
@@ -0,0 +1,98 @@
+"""The thread that owns a core and carries out its effects."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from sardineferry.clock import now_ms
+from sardineferry.decision.effects import Exit
+from sardineferry.logs import part_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sardineferry.decision.effects import Effect
+    from sardineferry.mailbox import Mailbox
+
+__all__ = ["Core", "CoreLoop"]
+
+BATCH_LIMIT = 256
+
+logger = part_logger("core")
+
+
+class Core(Protocol):
+    """What the loop drives."""
+
+    def handle(self, event: object, sender: str, now_ms: int) -> list[Effect]:
+        """Apply an event."""
+
+    def tick(self, now_ms: int) -> list[Effect]:
+        """Apply what is due by the clock."""
+
+
+class CoreLoop:
+    """Feeds a core from a mailbox and the clock."""
+
+    def __init__(
+        self,
+        core: Core,
+        mailbox: Mailbox,
+        perform: Callable[[Effect], None],
+        tick_interval_ms: int,
+    ) -> None:
+        """Name the core, its mailbox and what carries out effects."""
+        self.core = core
+        self.mailbox = mailbox
+        self.perform = perform
+        self.tick_interval_ms = tick_interval_ms
+        self.next_tick_ms = 0
+        self.exited = threading.Event()
+        self.thread = threading.Thread(target=self.run, name="core", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self.thread.start()
+
+    def run(self) -> None:
+        """Apply events and ticks until the core asks to exit."""
+        while not self.exited.is_set():
+            wait_s = (self.next_tick_ms - now_ms()) / 1_000
+            taken = self.mailbox.take(wait_s)
+            # After a pause the clock is applied first, so that lapsed leases
+            # are seen before any message that waited meanwhile.
+            self.tick_if_due()
+            for _ in range(BATCH_LIMIT):
+                if taken is None:
+                    break
+                self.apply(*taken)
+                taken = self.mailbox.take(0.0)
+            if taken is not None:
+                self.apply(*taken)
+
+    def tick_if_due(self) -> None:
+        """Tick when the interval has passed."""
+        now = now_ms()
+        if now < self.next_tick_ms:
+            return
+        self.next_tick_ms = now + self.tick_interval_ms
+        self.carry_out(self.core.tick(now))
+
+    def apply(self, event: object, sender: str) -> None:
+        """Apply one event; a defect in a rule must not end the process."""
+        try:
+            effects = self.core.handle(event, sender, now_ms())
+        except Exception:
+            logger.exception("Event {} failed.", type(event).__name__)
+            return
+        self.carry_out(effects)
+
+    def carry_out(self, effects: list[Effect]) -> None:
+        """Perform effects in order."""
+        for effect in effects:
+            if isinstance(effect, Exit):
+                self.exited.set()
+                return
+            self.perform(effect)
--- /dev/null
+++ b/src/sardineferry/decision/entry/claiming.py
@@ -0,0 +1,112 @@
+"""Claims submissions in the log before the first non-idempotent start.
+
+Claims are committed in groups: one append is under way at a time, and what
+arrives meanwhile goes into the next. A claim holds when it is read back as
+the first of its epoch, which also resolves lost answers of the log.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from sardineferry.decision.budget import backoff_ms
+from sardineferry.decision.claims import CLAIM_STREAM
+from sardineferry.decision.claims import ClaimRecord
+from sardineferry.decision.effects import Append
+from sardineferry.decision.entry.outcomes import end_job
+from sardineferry.decision.entry.outcomes import refuse_job
+from sardineferry.decision.entry.state import ClaimBatch
+
+if TYPE_CHECKING:
+    from sardineferry.decision.claims import Claim
+    from sardineferry.decision.entry.jobs import JobEntry
+    from sardineferry.decision.entry.state import EntryState
+
+__all__ = [
+    "append_failed",
+    "expire_claim",
+    "flush_claims",
+    "holds",
+    "request_claim",
+    "settle_batch",
+]
+
+
+def holds(state: EntryState, claim: Claim) -> bool:
+    """Tell whether this incarnation made the claim."""
+    return claim.entry == state.name and claim.incarnation == state.incarnation
+
+
+def request_claim(state: EntryState, entry: JobEntry, now_ms: int) -> None:
+    """Put a submission into the next group, with the epoch that follows."""
+    submission = entry.job.submission
+    wait_ms = min(state.policy.claim_timeout_ms, entry.deadline_ms - now_ms)
+    entry.claim_until_ms = now_ms + wait_ms
+    held = state.claims.find(submission)
+    entry.epoch = held.epoch + 1 if held else 1
+    batch = state.claim_batch
+    if batch is not None and (submission, entry.epoch) in batch.claims:
+        return
+    state.unclaimed[submission] = entry.epoch
+
+
+def flush_claims(state: EntryState, now_ms: int) -> None:
+    """Start the next append, or repeat one whose outcome is not known."""
+    batch = state.claim_batch
+    if batch is not None:
+        if batch.retry_at_ms and now_ms >= batch.retry_at_ms:
+            batch.retry_at_ms = 0
+            state.effects.append(Append(CLAIM_STREAM, batch.record_id, batch.body))
+        return
+    if not state.unclaimed or now_ms < state.next_claim_ms:
+        return
+    record_id = f"{state.name}/{state.incarnation}/{state.next_id()}"
+    record = ClaimRecord(
+        state.name, state.incarnation, tuple(state.unclaimed.items()), roster_of(state)
+    )
+    body = msgspec.json.encode(record).decode()
+    state.claim_batch = ClaimBatch(record_id, body, frozenset(record.claims))
+    state.unclaimed = {}
+    state.next_claim_ms = now_ms + state.policy.claim_interval_ms
+    state.counters["claim_appends"] += 1
+    state.effects.append(Append(CLAIM_STREAM, record_id, body))
+
+
+def roster_of(state: EntryState) -> tuple[str, ...]:
+    """Name the agents that may start tasks under a new claim."""
+    return tuple(
+        member.identity() for member in state.members.values() if member.state != "lost"
+    )
+
+
+def append_failed(state: EntryState, record_id: str, now_ms: int) -> None:
+    """Repeat the append of a batch after a capped exponential delay."""
+    batch = state.claim_batch
+    if batch is None or batch.record_id != record_id:
+        return
+    batch.failures += 1
+    batch.retry_at_ms = now_ms + backoff_ms(batch.failures)
+
+
+def settle_batch(state: EntryState, record_id: str) -> None:
+    """Note that the batch under way was read back."""
+    if state.claim_batch and state.claim_batch.record_id == record_id:
+        state.claim_batch = None
+
+
+def expire_claim(state: EntryState, entry: JobEntry, now_ms: int) -> None:
+    """Answer a job whose claim could not be read back in time.
+
+    Nothing was started here. Only a caller who states that the key is new
+    can be told "not run": elsewhere an earlier submission may have run.
+    """
+    state.unclaimed.pop(entry.job.submission, None)
+    reason = "the log does not answer"
+    if not entry.job.resubmission:
+        refuse_job(state, entry, reason, state.policy.retry_after_ms, now_ms)
+        return
+    entry.reason = f"{reason}; an earlier submission of the key may have run"
+    entry.retry_after_ms = state.policy.retry_after_ms
+    end_job(state, entry, "lose", now_ms)
--- /dev/null
+++ b/src/sardineferry/decision/entry/dump.py
@@ -0,0 +1,112 @@
+"""The entry's state as stable JSON."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import TypedDict
+
+import msgspec
+
+if TYPE_CHECKING:
+    from sardineferry.decision.entry.state import EntryState
+
+__all__ = ["EntryDump", "JobDump", "MemberDump", "PeerDump", "dump_entry"]
+
+
+class MemberDump(TypedDict):
+    """One agent; ``factor`` is its run time relative to the mean."""
+
+    incarnation: str
+    data_centre: str
+    state: str
+    linked: bool
+    credits: int
+    in_flight: int
+    health: str
+    factor: float
+
+
+class PeerDump(TypedDict):
+    """One other entry."""
+
+    incarnation: str
+    linked: bool
+    leaving: bool
+
+
+class JobDump(TypedDict):
+    """One open job."""
+
+    state: str
+    team: str
+    tasks: int
+    open_tasks: int
+    epoch: int
+
+
+class EntryDump(TypedDict):
+    """What an entry shows of its state."""
+
+    entry: str
+    incarnation: str
+    data_centre: str
+    leaving: bool
+    preset: str
+    preset_version: int
+    waiting: int
+    claims: int
+    jobs_kept: int
+    running_by_team: dict[str, int]
+    members: dict[str, MemberDump]
+    peers: dict[str, PeerDump]
+    jobs: dict[str, JobDump]
+    counters: dict[str, int]
+
+
+def dump_entry(state: EntryState) -> str:
+    """Return the state as JSON with sorted keys."""
+    dump = EntryDump(
+        entry=state.name,
+        incarnation=state.incarnation,
+        data_centre=state.data_centre,
+        leaving=state.leaving,
+        preset=state.preset.name,
+        preset_version=state.preset.version,
+        waiting=state.queue.waiting,
+        claims=len(state.claims.claims),
+        jobs_kept=len(state.jobs),
+        running_by_team=dict(state.queue.running),
+        members={
+            member.name: MemberDump(
+                incarnation=member.incarnation,
+                data_centre=member.data_centre,
+                state=member.state,
+                linked=member.linked,
+                credits=member.credits,
+                in_flight=len(member.in_flight),
+                health=member.health.state,
+                factor=round(member.factor.value, 2),
+            )
+            for member in state.members.values()
+        },
+        peers={
+            peer.name: PeerDump(
+                incarnation=peer.incarnation,
+                linked=bool(peer.link),
+                leaving=peer.leaving,
+            )
+            for peer in state.peers.values()
+        },
+        jobs={
+            entry.job.submission: JobDump(
+                state=entry.state,
+                team=entry.job.team,
+                tasks=len(entry.tasks),
+                open_tasks=entry.open_tasks,
+                epoch=entry.epoch,
+            )
+            for entry in state.live_jobs.values()
+        },
+        counters=dict(state.counters),
+    )
+    return msgspec.json.encode(dump, order="sorted").decode()
--- /dev/null
+++ b/src/sardineferry/decision/entry/members.py
@@ -0,0 +1,155 @@
+"""Tracks agents: announcements, silence, loss and return."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sardineferry.decision.effects import Send
+from sardineferry.decision.entry import recovery
+from sardineferry.decision.entry import results
+from sardineferry.decision.entry.routing import start_message
+from sardineferry.decision.entry.state import Member
+from sardineferry.messages import wire
+
+if TYPE_CHECKING:
+    from sardineferry.decision.entry.state import EntryState
+
+__all__ = ["announce", "disconnect", "hear", "leave", "scan"]
+
+FORGET_MS = 60_000
+MASS_SHARE = 0.5
+MASS_MINIMUM = 3
+MASS_PATIENCE = 4
+
+
+def announce(state: EntryState, event: wire.Announce, now_ms: int) -> None:
+    """Welcome an agent; one that restarted has lost what it was running."""
+    earlier = state.members.get(event.agent)
+    member = Member(
+        event.agent, event.incarnation, event.data_centre, event.shape, now_ms
+    )
+    state.members[event.agent] = member
+    state.creditors.pop(event.agent, None)
+    welcome(state, member, event.preset_version)
+    if earlier is None:
+        return
+    member.factor = earlier.factor
+    if earlier.incarnation != event.incarnation:
+        for task in list(earlier.in_flight.values()):
+            results.lose_attempt(state, task, event.agent, "agent restarted", now_ms)
+        return
+    member.health = earlier.health
+    resume(state, member, earlier, now_ms)
+
+
+def welcome(state: EntryState, member: Member, preset_version: int) -> None:
+    """Tell an agent of the preset and the other entries."""
+    addresses = [peer.address for peer in state.peers.values() if peer.address]
+    message = wire.Welcome(
+        state.name,
+        state.incarnation,
+        (state.address, *sorted(addresses)),
+        state.preset.name,
+        state.preset.version,
+    )
+    state.effects.append(Send(member.name, message))
+
+
+def resume(state: EntryState, member: Member, earlier: Member, now_ms: int) -> None:
+    """Repeat what is in flight; the start table answers what it knows."""
+    for key, task in earlier.in_flight.items():
+        member.in_flight[key] = task
+        if task.state == "uncertain":
+            task.advance("send")
+        message = start_message(task, member, now_ms)
+        state.counters["repeats"] += 1
+        state.effects.append(Send(member.name, message))
+    for entry in state.live_jobs.values():
+        if entry.recovery_until_ms:
+            recovery.ask(state, entry, member)
+
+
+def hear(state: EntryState, member: Member, now_ms: int) -> None:
+    """Note a sign of life; a lost agent that is heard again is back."""
+    member.last_heard_ms = now_ms
+    if member.state == "suspect":
+        member.advance("hear")
+        state.add_credits(member, 0)
+    if member.state == "lost":
+        revived = Member(
+            member.name, member.incarnation, member.data_centre, member.shape, now_ms
+        )
+        revived.factor = member.factor
+        revived.health = member.health
+        state.members[member.name] = revived
+        resume(state, revived, member, now_ms)
+
+
+def leave(state: EntryState, member: Member) -> None:
+    """Send nothing more to an agent that is leaving."""
+    if member.state == "lost":
+        return
+    member.advance("leave")
+    state.creditors.pop(member.name, None)
+
+
+def disconnect(state: EntryState, member: Member) -> None:
+    """Note that the link closed; what is in flight is uncertain."""
+    member.linked = False
+    member.credits = 0
+    state.creditors.pop(member.name, None)
+    if member.state != "lost":
+        member.advance("disconnect")
+    for task in member.in_flight.values():
+        if task.state == "sent":
+            task.started = True
+            task.advance("disconnect")
+
+
+def scan(state: EntryState, now_ms: int) -> None:
+    """Suspect silent agents, and drop those whose lease has lapsed.
+
+    When most agents fall silent together this entry is more likely cut off
+    itself: it then waits longer before it drops them.
+    """
+    policy = state.policy
+    for member in state.members.values():
+        silent_ms = now_ms - member.last_heard_ms
+        if member.state == "active" and silent_ms > policy.suspect_ms:
+            member.advance("silence")
+            state.creditors.pop(member.name, None)
+    silent = [
+        member
+        for member in state.members.values()
+        if member.state != "lost" and now_ms - member.last_heard_ms > policy.lapse_ms
+    ]
+    present = [item for item in state.members.values() if item.state != "lost"]
+    mass = len(silent) >= MASS_MINIMUM and len(silent) > MASS_SHARE * len(present)
+    patience_ms = policy.lapse_ms * (MASS_PATIENCE if mass else 1)
+    for member in silent:
+        if now_ms - member.last_heard_ms > patience_ms:
+            drop(state, member, now_ms)
+    forget(state, now_ms)
+
+
+def drop(state: EntryState, member: Member, now_ms: int) -> None:
+    """Retry idempotent tasks of a lost agent; keep waiting for the others."""
+    member.advance("lapse")
+    state.creditors.pop(member.name, None)
+    state.counters["members_lost"] += 1
+    for task in list(member.in_flight.values()):
+        if task.task.idempotent:
+            results.lose_attempt(state, task, member.name, "agent lost", now_ms)
+
+
+def forget(state: EntryState, now_ms: int) -> None:
+    """Remove agents that were lost long ago."""
+    gone = [
+        member.name
+        for member in state.members.values()
+        if member.state == "lost"
+        and not member.in_flight
+        and now_ms - member.last_heard_ms > FORGET_MS
+    ]
+    for name in gone:
+        del state.members[name]
--- /dev/null
+++ b/src/sardineferry/decision/entry/peers.py
@@ -0,0 +1,71 @@
+"""Tracks the other entries and exchanges digests with them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sardineferry.decision.effects import Send
+from sardineferry.decision.entry import presets
+from sardineferry.decision.entry.state import Peer
+from sardineferry.decision.preset import Preset
+from sardineferry.messages import wire
+
+if TYPE_CHECKING:
+    from sardineferry.decision.entry.state import EntryState
+
+__all__ = ["greet", "hello", "peer_down", "send_digests", "take_digest"]
+
+
+def hello(state: EntryState) -> wire.PeerHello:
+    """Return the greeting of this entry."""
+    return wire.PeerHello(
+        state.name,
+        state.incarnation,
+        state.address,
+        state.data_centre,
+        state.preset.name,
+        state.preset.version,
+    )
+
+
+def greet(
+    state: EntryState, event: wire.PeerHello, sender: str, dialled: bool, now_ms: int
+) -> None:
+    """Learn of a peer; a greeting on a link dialled here makes it usable."""
+    if event.entry == state.name:
+        return
+    peer = state.peers.setdefault(event.entry, Peer(event.entry, now_ms))
+    peer.incarnation = event.incarnation
+    peer.address = event.address
+    peer.data_centre = event.data_centre
+    peer.last_heard_ms = now_ms
+    peer.leaving = False
+    presets.adopt(state, Preset(event.preset_version, event.preset_name), now_ms)
+    if dialled:
+        peer.link = sender
+        return
+    state.effects.append(Send(sender, hello(state)))
+
+
+def peer_down(state: EntryState, link: str) -> None:
+    """Note that the link to a peer closed."""
+    for peer in state.peers.values():
+        if peer.link == link:
+            peer.link = ""
+
+
+def send_digests(state: EntryState) -> None:
+    """Tell peers the running units per team; it also shows life."""
+    digest = wire.PeerDigest(state.name, dict(state.queue.running))
+    for peer in state.peers.values():
+        if peer.link:
+            state.effects.append(Send(peer.link, digest))
+
+
+def take_digest(state: EntryState, event: wire.PeerDigest, now_ms: int) -> None:
+    """Keep what a peer told."""
+    peer = state.peers.get(event.entry)
+    if peer is None:
+        return
+    peer.last_heard_ms = now_ms
+    peer.running = event.running
--- /dev/null
+++ b/src/sardineferry/entry/waiting.py
@@ -0,0 +1,38 @@
+"""Requests that wait for the core's answer."""
+
+from __future__ import annotations
+
+import itertools
+from concurrent.futures import Future
+from typing import Generic
+from typing import TypeVar
+
+__all__ = ["WaitingRequests"]
+
+T = TypeVar("T")
+
+
+class WaitingRequests(Generic[T]):
+    """Futures by token; each is answered at most once."""
+
+    def __init__(self) -> None:
+        """Start without requests."""
+        self.tokens = itertools.count(1)
+        self.futures: dict[int, Future[T]] = {}
+
+    def open(self) -> tuple[int, Future[T]]:
+        """Return a new token and its future."""
+        token = next(self.tokens)
+        future: Future[T] = Future()
+        self.futures[token] = future
+        return token, future
+
+    def answer(self, token: int, value: T) -> None:
+        """Answer a token; one that was given up is ignored."""
+        future = self.futures.pop(token, None)
+        if future is not None:
+            future.set_result(value)
+
+    def give_up(self, token: int) -> None:
+        """Wait no more for a token."""
+        self.futures.pop(token, None)
--- /dev/null
+++ b/src/sardineferry/factory.py
@@ -0,0 +1,70 @@
+"""The composition root: builds processes from settings."""
+
+from __future__ import annotations
+
+import random
+import uuid
+from typing import TYPE_CHECKING
+
+from sardineferry.agent import AgentProcess
+from sardineferry.decision.agent import AgentCore
+from sardineferry.decision.agent import AgentPolicy
+from sardineferry.decision.entry import EntryCore
+from sardineferry.decision.entry import EntryPolicy
+from sardineferry.entry import EntryProcess
+from sardineferry.logs import configure_logs
+from sardineferry.mailbox import Mailbox
+from sardineferry.transport.registry import LinkRegistry
+
+if TYPE_CHECKING:
+    from sardineferry.settings import AgentSettings
+    from sardineferry.settings import EntrySettings
+
+__all__ = ["build_agent", "build_entry"]
+
+
+def new_incarnation() -> str:
+    """Return a name that no earlier run of the process had."""
+    return uuid.uuid4().hex[:12]
+
+
+def build_entry(settings: EntrySettings) -> EntryProcess:
+    """Build an entry; its addresses are bound, its threads not started."""
+    configure_logs(settings.log_level, settings.log_json)
+    policy = EntryPolicy(
+        team_quotas=settings.teams,
+        queue_limit=settings.queue_limit,
+        claim_interval_ms=settings.claim_interval_ms,
+        demand_fanout=settings.demand_fanout,
+        demand_ttl_ms=settings.demand_ttl_ms,
+        demand_after_ms=settings.demand_after_ms,
+        republish_ms=settings.republish_ms,
+    )
+    source = random.Random()
+    core = EntryCore(
+        settings.name,
+        new_incarnation(),
+        settings.listen,
+        settings.data_centre,
+        policy,
+        source,
+    )
+    return EntryProcess(settings, core, Mailbox(), LinkRegistry(), source)
+
+
+def build_agent(settings: AgentSettings) -> AgentProcess:
+    """Build an agent; its threads are not started."""
+    configure_logs(settings.log_level, settings.log_json)
+    policy = AgentPolicy(
+        extra_units=settings.extra_units,
+        recalls=settings.recalls,
+        table_limit=settings.table_limit,
+    )
+    core = AgentCore(
+        settings.name,
+        new_incarnation(),
+        settings.data_centre,
+        settings.shape,
+        policy,
+    )
+    return AgentProcess(settings, core, Mailbox(), LinkRegistry(), random.Random())
--- /dev/null
+++ b/src/sardineferry/settings/__init__.py
@@ -0,0 +1,19 @@
+"""Settings in JSON, checked against a schema."""
+
+from __future__ import annotations
+
+from sardineferry.settings.agent import AgentSettings
+from sardineferry.settings.entry import EntrySettings
+from sardineferry.settings.loader import SettingsError
+from sardineferry.settings.loader import check_settings
+from sardineferry.settings.loader import load_agent_settings
+from sardineferry.settings.loader import load_entry_settings
+
+__all__ = [
+    "AgentSettings",
+    "EntrySettings",
+    "SettingsError",
+    "check_settings",
+    "load_agent_settings",
+    "load_entry_settings",
+]
--- /dev/null
+++ b/src/sardineferry/settings/entry.py
@@ -0,0 +1,34 @@
+"""Settings of an entry."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+__all__ = ["EntrySettings"]
+
+
+class EntrySettings(NamedTuple):
+    """What an entry is told; intervals are in milliseconds.
+
+    ``listen`` and ``peers`` are ``host:port`` for links, ``http`` for
+    callers. ``teams`` maps each team to its quota of running units.
+    """
+
+    name: str
+    data_centre: str
+    listen: str
+    http: str
+    log: str
+    teams: dict[str, int]
+    peers: tuple[str, ...] = ()
+    http_threads: int = 64
+    queue_limit: int = 20_000
+    claim_interval_ms: int = 10
+    demand_fanout: int = 4
+    demand_ttl_ms: int = 500
+    demand_after_ms: int = 0
+    republish_ms: int = 60_000
+    drain_linger_ms: int = 500
+    statsd: str = ""
+    log_level: str = "INFO"
+    log_json: bool = False
--- /dev/null
+++ b/src/sardineferry/transport/__init__.py
@@ -0,0 +1,9 @@
+"""Long-lived gRPC streams that carry batches of messages."""
+
+from __future__ import annotations
+
+from sardineferry.transport.dialer import Dialer
+from sardineferry.transport.listener import Listener
+from sardineferry.transport.outbox import Outbox
+
+__all__ = ["Dialer", "Listener", "Outbox"]
--- /dev/null
+++ b/src/sardineferry/transport/dialer.py
@@ -0,0 +1,98 @@
+"""Keeps one link to an address open, reconnecting with a capped delay."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+import grpc
+
+from sardineferry.decision.budget import backoff_ms
+from sardineferry.decision.events import LinkDown
+from sardineferry.decision.events import LinkUp
+from sardineferry.logs import part_logger
+from sardineferry.messages import CodecError
+from sardineferry.messages import decode_frame
+from sardineferry.transport.outbox import Outbox
+from sardineferry.transport.service import CHANNEL_OPTIONS
+from sardineferry.transport.service import METHOD_PATH
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from sardineferry.mailbox import Mailbox
+    from sardineferry.transport.registry import LinkRegistry
+
+__all__ = ["Dialer"]
+
+CONNECT_TIMEOUT_S = 2.0
+JOIN_TIMEOUT_S = 3.0
+
+logger = part_logger("dialer")
+
+
+class Dialer:
+    """A thread that owns the link to one address."""
+
+    def __init__(
+        self, address: str, mailbox: Mailbox, links: LinkRegistry, random: Random
+    ) -> None:
+        """Name the address, which also names the link."""
+        self.address = address
+        self.mailbox = mailbox
+        self.links = links
+        self.random = random
+        self.stopped = threading.Event()
+        self.thread = threading.Thread(target=self.run, daemon=True)
+
+    def start(self) -> None:
+        """Start dialling."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Dial no more; the open link ends when its outbox is closed."""
+        self.stopped.set()
+
+    def join(self) -> None:
+        """Wait, for a bounded time, until the link has ended."""
+        self.thread.join(JOIN_TIMEOUT_S)
+
+    def run(self) -> None:
+        """Connect again and again until stopped."""
+        failures = 0
+        while not self.stopped.is_set():
+            connected = self.connect()
+            failures = 0 if connected else failures + 1
+            delay_s = backoff_ms(failures) / 1_000
+            self.stopped.wait(delay_s * self.random.uniform(0.5, 1.0))
+
+    def connect(self) -> bool:
+        """Hold one connection until it ends; tell whether it was made."""
+        with grpc.insecure_channel(self.address, options=CHANNEL_OPTIONS) as channel:
+            try:
+                grpc.channel_ready_future(channel).result(CONNECT_TIMEOUT_S)
+            except grpc.FutureTimeoutError:
+                return False
+            self.exchange(channel)
+            return True
+
+    def exchange(self, channel: grpc.Channel) -> None:
+        """Pass messages on until the stream ends."""
+        outbox = Outbox()
+        self.links.open(self.address, outbox)
+        self.mailbox.put(LinkUp(self.address))
+        logger.info("Link to {} opened.", self.address)
+        stream = channel.stream_stream(METHOD_PATH)(outbox.drain())
+        try:
+            for frame in stream:
+                self.mailbox.put_all(decode_frame(frame), self.address)
+        except CodecError as error:
+            logger.warning("Link to {} sent a bad frame: {}.", self.address, error)
+        except grpc.RpcError as error:
+            logger.debug("Link to {} broke: {}.", self.address, error)
+        finally:
+            stream.cancel()
+            outbox.close()
+            self.links.close(self.address, outbox)
+            logger.info("Link to {} closed.", self.address)
+            self.mailbox.put(LinkDown(self.address))
