Run the decision code through a fault matrix under virtual time

Found: a job under takeover whose new claim could not be read back ended with an error in the rule; had it been answered as 'not run', a booking of the lost owner would have been denied. It now ends 'unknown'. A submission that was tried anew lost the note that an earlier owner may have run it; the note is now inherited. A defect in a tick would have ended the core's thread.

--- /dev/null
+++ b/bench/virtual/log.py
@@ -0,0 +1,51 @@
+"""A fake of the platform's log."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from sardineferry.decision.events import LogRecord
+from sardineferry.decision.events import LogRecords
+
+__all__ = ["FakeLog"]
+
+
+class FakeLog:
+    """Streams in memory; faults are plain attributes.
+
+    ``down`` refuses everything, ``lose_answers`` appends act but look
+    failed, ``slow_ms`` is added to each call, ``retention`` records are kept.
+    """
+
+    def __init__(self) -> None:
+        """Start without records or faults."""
+        self.streams: dict[str, list[LogRecord]] = defaultdict(list)
+        self.next_offset: dict[str, int] = defaultdict(int)
+        self.down = False
+        self.lose_answers = 0
+        self.slow_ms = 0
+        self.retention = 1_000_000
+        self.appends = 0
+
+    def append(self, stream: str, record_id: str, body: str) -> bool:
+        """Append; false when it failed or its answer was lost."""
+        if self.down:
+            return False
+        record = LogRecord(self.next_offset[stream], record_id, body)
+        self.next_offset[stream] += 1
+        self.streams[stream].append(record)
+        del self.streams[stream][: -self.retention]
+        self.appends += 1
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return False
+        return True
+
+    def read(self, stream: str, start: int) -> LogRecords | None:
+        """Read from an offset on; None while the log is down."""
+        if self.down:
+            return None
+        records = self.streams[stream]
+        first = records[0].offset if records else self.next_offset[stream]
+        found = tuple(records[max(0, start - first) :])
+        return LogRecords(stream, first, found)
--- a/src/sardineferry/core_loop.py
+++ b/src/sardineferry/core_loop.py
@@ -32,6 +32,9 @@
     def tick(self, now_ms: int) -> list[Effect]:
         """Apply what is due by the clock."""
 
+    def take_effects(self) -> list[Effect]:
+        """Return and clear the collected effects."""
+
 
 class CoreLoop:
     """Feeds a core from a mailbox and the clock."""
@@ -78,15 +81,20 @@
         if now < self.next_tick_ms:
             return
         self.next_tick_ms = now + self.tick_interval_ms
-        self.carry_out(self.core.tick(now))
+        self.guard("tick", lambda: self.core.tick(now))
 
     def apply(self, event: object, sender: str) -> None:
-        """Apply one event; a defect in a rule must not end the process."""
+        """Apply one event."""
+        name = type(event).__name__
+        self.guard(name, lambda: self.core.handle(event, sender, now_ms()))
+
+    def guard(self, name: str, rule: Callable[[], list[Effect]]) -> None:
+        """Apply a rule; a defect in it must not end the process."""
         try:
-            effects = self.core.handle(event, sender, now_ms())
+            effects = rule()
         except Exception:
-            logger.exception("Event {} failed.", type(event).__name__)
-            return
+            logger.exception("Event {} failed.", name)
+            effects = self.core.take_effects()
         self.carry_out(effects)
 
     def carry_out(self, effects: list[Effect]) -> None:
--- a/src/sardineferry/decision/entry/admission.py
+++ b/src/sardineferry/decision/entry/admission.py
@@ -50,7 +50,7 @@
     if known is not None:
         entry.inherit(known)
     claim = state.claims.find(job.submission)
-    entry.fresh = known is not None or claim is None
+    entry.fresh = known.fresh if known is not None else claim is None
     entry.waiters.append(waiter)
     state.jobs.pop(job.submission, None)
     state.jobs[job.submission] = entry
--- a/src/sardineferry/decision/entry/claiming.py
+++ b/src/sardineferry/decision/entry/claiming.py
@@ -100,11 +100,13 @@
     """Answer a job whose claim could not be read back in time.
 
     Nothing was started here. Only a caller who states that the key is new
-    can be told "not run": elsewhere an earlier submission may have run.
+    can be told "not run": elsewhere an earlier submission may have run. A
+    key that was seen to be claimed before is not new, whatever is stated.
     """
     state.unclaimed.pop(entry.job.submission, None)
     reason = "the log does not answer"
-    if not entry.job.resubmission:
+    is_new = entry.fresh and entry.state == "claiming"
+    if is_new and not entry.job.resubmission:
         refuse_job(state, entry, reason, state.policy.retry_after_ms, now_ms)
         return
     entry.reason = f"{reason}; an earlier submission of the key may have run"
--- a/src/sardineferry/transport/dialer.py
+++ b/src/sardineferry/transport/dialer.py
@@ -82,7 +82,9 @@
         self.links.open(self.address, outbox)
         self.mailbox.put(LinkUp(self.address))
         logger.info("Link to {} opened.", self.address)
-        stream = channel.stream_stream(METHOD_PATH)(outbox.drain())
+        method: grpc.StreamStreamMultiCallable[bytes, bytes]
+        method = channel.stream_stream(METHOD_PATH)
+        stream = method(outbox.drain())
         try:
             for frame in stream:
                 self.mailbox.put_all(decode_frame(frame), self.address)
--- a/src/sardineferry/transport/listener.py
+++ b/src/sardineferry/transport/listener.py
@@ -54,7 +54,9 @@
             ThreadPoolExecutor(LINK_LIMIT, thread_name_prefix="link"),
             options=CHANNEL_OPTIONS,
         )
-        handler = grpc.stream_stream_rpc_method_handler(self.exchange)
+        handler: grpc.RpcMethodHandler[bytes, bytes] = (
+            grpc.stream_stream_rpc_method_handler(self.exchange)
+        )
         self.server.add_generic_rpc_handlers(
             (grpc.method_handlers_generic_handler(SERVICE, {METHOD: handler}),)
         )
