--- /dev/null
+++ b/tests/decision/agent/test_core.py
@@ -0,0 +1,257 @@
+"""Tests of the agent's decisions."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import pytest
+
+from sardineferry.decision import events
+from sardineferry.decision.agent import AgentCore
+from sardineferry.decision.agent import AgentPolicy
+from sardineferry.decision.effects import CheckpointTask
+from sardineferry.decision.effects import Effect
+from sardineferry.decision.effects import Exit
+from sardineferry.decision.effects import RunTask
+from sardineferry.decision.effects import Send
+from sardineferry.decision.effects import StopTask
+from sardineferry.decision.effects import ThrottleTask
+from sardineferry.messages import Attempt
+from sardineferry.messages import TargetShape
+from sardineferry.messages import Task
+from sardineferry.messages import TaskResult
+from sardineferry.messages import wire
+
+OK = TaskResult("answered", "yes", "", 5)
+
+
+def make_core(
+    slots: int = 2, policy: AgentPolicy | None = None, entries: tuple[str, ...] = ("e",)
+) -> AgentCore:
+    shape = TargetShape("minion", slots=slots)
+    core = AgentCore("a", "run0", "dc", shape, policy or AgentPolicy())
+    for entry in entries:
+        core.handle(events.LinkUp(entry), entry, 0)
+        welcome = wire.Welcome(entry, "run0", (), "ordinary", 0)
+        core.handle(welcome, entry, 0)
+    return core
+
+
+def start(
+    name: str = "t",
+    number: int = 1,
+    epoch: int = 0,
+    idempotent: bool = False,
+    budget_ms: int = 1_000,
+) -> wire.Start:
+    task = Task(name, "k", idempotent, "")
+    return wire.Start(Attempt("s", name, number), epoch, budget_ms, task)
+
+
+def runs(effects: list[Effect]) -> list[str]:
+    return [item.task.id for item in effects if isinstance(item, RunTask)]
+
+
+def sent(effects: list[Effect], kind: type) -> list[object]:
+    return [
+        item.message
+        for item in effects
+        if isinstance(item, Send) and isinstance(item.message, kind)
+    ]
+
+
+class Repeat(NamedTuple):
+    """Messages before a start of attempt ``number``, and what it may do."""
+
+    before: tuple[object, ...]
+    number: int
+    idempotent: bool
+    reruns: bool
+
+
+FINISHED = events.TargetFinished(Attempt("s", "t", 1), OK)
+BROKEN = events.TargetFinished(
+    Attempt("s", "t", 1), TaskResult("unknown", "", "fault", 5)
+)
+
+
+@pytest.mark.parametrize(
+    "case",
+    [
+        Repeat((start(),), 1, False, False),
+        Repeat((start(),), 2, False, False),
+        Repeat((start(), FINISHED), 1, False, False),
+        Repeat((start(), FINISHED), 2, False, False),
+        Repeat((start(), BROKEN), 2, False, False),
+        Repeat((start(idempotent=True), BROKEN), 2, True, True),
+        Repeat((start(idempotent=True), FINISHED), 2, True, False),
+        Repeat((wire.Revoke("s", (("t", 1),)),), 1, False, False),
+        Repeat((wire.Revoke("s", (("t", 1),)),), 2, False, True),
+    ],
+)
+def test_start_runs_a_task_at_most_once(case: Repeat) -> None:
+    core = make_core()
+    for message in case.before:
+        core.handle(message, "e", 10)
+    again = start(number=case.number, idempotent=case.idempotent)
+    assert bool(runs(core.handle(again, "e", 20))) is case.reruns
+
+
+def test_repeated_start_gets_the_recorded_answer() -> None:
+    core = make_core()
+    core.handle(start(), "e", 0)
+    core.handle(FINISHED, "", 5)
+    (done,) = sent(core.handle(start(), "e", 10), wire.Done)
+    assert done == wire.Done(Attempt("s", "t", 1), OK, 0)
+
+
+@pytest.mark.parametrize(
+    ("message", "now_ms", "reason"),
+    [
+        (start(), 4_001, "lease lapsed"),
+        (start(budget_ms=0), 10, "deadline"),
+        (start(epoch=1), 10, "fenced by a later epoch"),
+    ],
+)
+def test_start_is_refused_with_proof(
+    message: wire.Start, now_ms: int, reason: str
+) -> None:
+    core = make_core()
+    core.handle(wire.Inquire("s", 2), "e", 0)
+    message = message if reason.startswith("fenced") else message._replace(epoch=2)
+    effects = core.handle(message, "e", now_ms)
+    (refused,) = sent(effects, wire.Refused)
+    assert isinstance(refused, wire.Refused)
+    assert refused.reason == reason
+    # The refusal is kept: the same attempt can't start later either.
+    core.handle(wire.LeaseEcho(now_ms), "e", now_ms)
+    assert not runs(core.handle(message._replace(budget_ms=500), "e", now_ms + 1))
+
+
+def test_full_start_table_refuses_rather_than_forgets() -> None:
+    core = make_core(slots=8, policy=AgentPolicy(table_limit=2))
+    names = ("a", "b", "c")
+    started = [runs(core.handle(start(name), "e", 0)) for name in names]
+    assert started == [["a"], ["b"], []]
+
+
+def test_lease_is_renewed_from_the_moment_a_heartbeat_was_sent() -> None:
+    core = make_core()
+    # The echo waited while the process was frozen; its stamp is old.
+    core.handle(wire.LeaseEcho(1_000), "e", 9_000)
+    assert not runs(core.handle(start(), "e", 9_000))
+
+
+def test_queue_beyond_units_runs_in_order_and_refuses_late_tasks() -> None:
+    core = make_core(slots=1, policy=AgentPolicy(extra_units=2))
+    core.handle(start("a", budget_ms=900), "e", 0)
+    core.handle(start("b", budget_ms=100), "e", 0)
+    core.handle(start("c", budget_ms=900), "e", 0)
+    finished = events.TargetFinished(Attempt("s", "a", 1), OK)
+    effects = core.handle(finished, "", 500)
+    assert runs(effects) == ["c"]
+    (refused,) = sent(effects, wire.Refused)
+    assert isinstance(refused, wire.Refused)
+    assert (refused.attempt.task, refused.reason) == ("b", "deadline")
+
+
+def test_freed_credit_goes_to_the_entry_that_waits_longest() -> None:
+    core = make_core(slots=2, entries=("e", "f", "g"))
+    core.handle(start("a"), "e", 0)
+    core.handle(wire.Demand(1, 50), "f", 100)
+    core.handle(wire.Demand(1, 90), "g", 100)
+    finished = events.TargetFinished(Attempt("s", "a", 1), OK)
+    effects = core.handle(finished, "", 110)
+    grants = [
+        item.to
+        for item in effects
+        if isinstance(item, Send) and isinstance(item.message, wire.Grant)
+    ]
+    assert grants[0] == "g"
+    (done,) = sent(effects, wire.Done)
+    assert isinstance(done, wire.Done)
+    assert done.credits == 0
+
+
+def test_unused_credit_is_recalled_for_a_waiting_entry() -> None:
+    core = make_core(slots=1)
+    core.handle(events.LinkUp("f"), "f", 50)
+    # A new entry is due its share, which the first one holds.
+    effects = core.handle(wire.Welcome("f", "run0", (), "ordinary", 0), "f", 60)
+    assert effects == [Send("e", wire.Recall(1))]
+    assert core.handle(wire.Demand(1, 10), "f", 100) == []
+    effects = core.handle(wire.ReturnCredits(1), "e", 101)
+    assert effects == [Send("f", wire.Grant(1))]
+
+
+def test_drain_refuses_the_queue_and_leaves_when_idle() -> None:
+    core = make_core(slots=1, policy=AgentPolicy(extra_units=1))
+    core.handle(start("a"), "e", 0)
+    core.handle(start("b"), "e", 0)
+    effects = core.handle(events.Drain("test"), "", 1)
+    assert sent(effects, wire.Leaving)
+    assert sent(effects, wire.Refused)
+    assert not core.tick(2) or not any(isinstance(item, Exit) for item in core.tick(2))
+    assert not runs(core.handle(start("c"), "e", 3))
+    finished = events.TargetFinished(Attempt("s", "a", 1), OK)
+    assert sent(core.handle(finished, "", 4), wire.Done)
+    assert Exit("drained") in core.tick(5)
+
+
+def worker_core() -> AgentCore:
+    shape = TargetShape("worker", processors=4, memory_mb=4_000)
+    core = AgentCore("w", "run0", "dc", shape, AgentPolicy())
+    core.handle(events.LinkUp("e"), "e", 0)
+    core.handle(wire.Welcome("e", "run0", (), "ordinary", 0), "e", 0)
+    return core
+
+
+def test_overcommitted_worker_throttles_then_checkpoints_then_stops() -> None:
+    core = worker_core()
+    core.handle(start("hold"), "e", 0)
+    core.handle(start("quote", idempotent=True), "e", 1)
+    attempt = Attempt("s", "quote", 1)
+    report = events.UsageReported((events.TaskUsage(attempt, 6.0, 100),))
+    steps = [core.handle(report, "", 10)[0] for _ in range(3)]
+    assert steps == [
+        ThrottleTask(attempt),
+        CheckpointTask(attempt),
+        StopTask(attempt),
+    ]
+
+
+def test_usage_corrects_declared_sizes() -> None:
+    core = worker_core()
+    core.handle(start("a"), "e", 0)
+    attempt = Attempt("s", "a", 1)
+    report = events.UsageReported((events.TaskUsage(attempt, 3.0, 100),))
+    core.handle(report, "", 10)
+    core.handle(start("b"), "e", 20)
+    effects = core.handle(start("c"), "e", 20)
+    assert core.state.running["s", "b"].units == 3
+    (refused,) = sent(effects, wire.Refused)
+    assert isinstance(refused, wire.Refused)
+    assert refused.reason == "no capacity"
+
+
+def test_cancel_drops_the_queue_and_stops_idempotent_tasks() -> None:
+    core = make_core(slots=2, policy=AgentPolicy(extra_units=1))
+    core.handle(start("hold"), "e", 0)
+    core.handle(start("quote", idempotent=True), "e", 0)
+    core.handle(start("late"), "e", 0)
+    effects = core.handle(wire.Cancel(("s",)), "e", 1)
+    assert StopTask(Attempt("s", "quote", 1)) in effects
+    assert len([item for item in effects if isinstance(item, StopTask)]) == 1
+    (refused,) = sent(effects, wire.Refused)
+    assert isinstance(refused, wire.Refused)
+    assert refused.attempt.task == "late"
+
+
+def test_purge_keeps_rows_of_running_tasks() -> None:
+    core = make_core()
+    core.handle(start(idempotent=True), "e", 0)
+    core.tick(1_000_000)
+    assert core.state.table.count == 1
+    core.handle(FINISHED, "", 1_000_001)
+    core.tick(2_000_000)
+    assert core.state.table.count == 0
--- /dev/null
+++ b/tests/decision/test_claims.py
@@ -0,0 +1,55 @@
+"""Tests of the claim table."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from sardineferry.decision.claims import ClaimRecord
+from sardineferry.decision.claims import ClaimTable
+from sardineferry.decision.events import LogRecord
+
+
+def record(entry: str, epoch: int, *roster: str) -> LogRecord:
+    body = ClaimRecord(entry, "run0", (("job", epoch),), roster)
+    return LogRecord(0, entry, msgspec.json.encode(body).decode())
+
+
+@pytest.mark.parametrize(
+    ("records", "owner", "epoch", "roster"),
+    [
+        ([record("a", 1, "x")], "a", 1, {"x"}),
+        ([record("a", 1, "x"), record("b", 1, "y")], "a", 1, {"x"}),
+        ([record("a", 1, "x"), record("a", 1, "y")], "a", 1, {"x"}),
+        ([record("a", 1, "x"), record("b", 2, "y")], "b", 2, {"x", "y"}),
+        (
+            [record("a", 1, "x"), record("b", 2, "y"), record("c", 2, "z")],
+            "b",
+            2,
+            {"x", "y"},
+        ),
+        ([record("a", 1, "x"), record("b", 3, "y")], "a", 1, {"x"}),
+    ],
+)
+def test_fold_accepts_first_claim_of_next_epoch(
+    records: list[LogRecord], owner: str, epoch: int, roster: set[str]
+) -> None:
+    table = ClaimTable(horizon_ms=1_000)
+    for item in records:
+        assert table.fold(item, now_ms=0) == ["job"]
+    claim = table.find("job")
+    assert claim is not None
+    assert (claim.entry, claim.epoch, set(claim.roster)) == (owner, epoch, roster)
+
+
+@pytest.mark.parametrize(("now_ms", "kept"), [(999, True), (1_000, False)])
+def test_purge_forgets_claims_past_horizon(now_ms: int, kept: bool) -> None:
+    table = ClaimTable(horizon_ms=1_000)
+    table.fold(record("a", 1), now_ms=0)
+    table.purge(now_ms)
+    assert (table.find("job") is not None) is kept
+
+
+def test_fold_ignores_malformed_record() -> None:
+    table = ClaimTable(horizon_ms=1_000)
+    assert table.fold(LogRecord(0, "x", "[]"), now_ms=0) == []
--- /dev/null
+++ b/tests/decision/test_fault_matrix.py
@@ -0,0 +1,64 @@
+"""The fault matrix: each fault at each step, alone and in pairs.
+
+``python -m bench.matrix`` runs the whole of it with more seeds.
+"""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+from bench.virtual.drill import Strike
+from bench.virtual.drill import run_drill
+from bench.virtual.faults import FAULTS
+from bench.virtual.faults import STEPS
+from hypothesis import HealthCheck
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+PAIRS = [
+    (one, other) for one, other in itertools.product(FAULTS, repeat=2) if one != other
+]
+
+
+@pytest.mark.parametrize("step", STEPS)
+@pytest.mark.parametrize("fault", FAULTS)
+def test_single_fault_violates_no_law(fault: str, step: str) -> None:
+    history, violations = run_drill((Strike(fault, step, 5),), seed=2)
+    assert history.strikes == 1
+    assert violations == []
+
+
+@pytest.mark.parametrize(("one", "other"), PAIRS)
+def test_pair_of_faults_violates_no_law(one: str, other: str) -> None:
+    step = STEPS[PAIRS.index((one, other)) % len(STEPS)]
+    strikes = (Strike(one, "after_start", 3), Strike(other, step, 6))
+    history, violations = run_drill(strikes, seed=1)
+    assert history.strikes == 2
+    assert violations == []
+
+
+STRIKES = strategies.lists(
+    strategies.builds(
+        Strike,
+        strategies.sampled_from(sorted(FAULTS)),
+        strategies.sampled_from(STEPS),
+        strategies.integers(1, 20),
+    ),
+    min_size=3,
+    max_size=6,
+)
+
+
+@settings(
+    max_examples=100,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+@given(STRIKES, strategies.integers(1, 1_000))
+def test_sequences_of_faults_violate_no_law(strikes: list[Strike], seed: int) -> None:
+    _, violations = run_drill(tuple(strikes), seed)
+    assert violations == []
--- /dev/null
+++ b/tests/decision/test_preset.py
@@ -0,0 +1,45 @@
+"""Tests of folding presets."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from sardineferry.decision.events import LogRecord
+from sardineferry.decision.preset import Preset
+from sardineferry.decision.preset import PresetRecord
+from sardineferry.decision.preset import fold_preset
+
+START = Preset(0, "ordinary")
+
+
+def record(name: str, version: int, republished: bool = False) -> LogRecord:
+    body = PresetRecord(name, version, "entry", republished)
+    return LogRecord(0, f"{name}{version}", msgspec.json.encode(body).decode())
+
+
+@pytest.mark.parametrize(
+    ("records", "first_offset", "expected"),
+    [
+        ([record("peak", 1)], 0, Preset(1, "peak")),
+        ([record("peak", 1), record("maintenance", 1)], 0, Preset(1, "peak")),
+        ([record("peak", 1), record("peak", 3)], 0, Preset(1, "peak")),
+        (
+            [record("peak", 1), record("maintenance", 2), record("peak", 1, True)],
+            0,
+            Preset(2, "maintenance"),
+        ),
+        ([record("peak", 1)], 5, START),
+        ([record("peak", 7, True)], 5, Preset(7, "peak")),
+        ([record("peak", 7, True), record("ordinary", 8)], 5, Preset(8, "ordinary")),
+        ([record("bogus", 1)], 0, START),
+        ([LogRecord(0, "x", "not json")], 0, START),
+    ],
+)
+def test_fold_preset_lets_first_valid_change_win(
+    records: list[LogRecord], first_offset: int, expected: Preset
+) -> None:
+    preset = START
+    for item in records:
+        preset = fold_preset(preset, item, first_offset)
+    assert preset == expected
