Route by reported load instead of granted credits

Credits lay idle at entries that did not wait. Change: agents report their load on every answer; an entry keeps what it has in flight within what others seem to leave or an even share, and waits here otherwise. An agent queues a few units or refuses. Conclusion: two settings move between response and messages; credits go.

--- a/bench/virtual/schedule.py
+++ b/bench/virtual/schedule.py
@@ -20,14 +20,14 @@
     def __init__(self) -> None:
         """Start at time zero."""
         self.now_us = 0
-        self.heap: list[tuple[int, int, Callable[[], None]]] = []
+        self.heap: list[tuple[int, int, Callable[[], object]]] = []
         self.sequence = itertools.count()
 
     def now_ms(self) -> int:
         """Return the time in whole milliseconds."""
         return self.now_us // US_PER_MS
 
-    def after_ms(self, delay_ms: float, action: Callable[[], None]) -> None:
+    def after_ms(self, delay_ms: float, action: Callable[[], object]) -> None:
         """Add an action after a delay."""
         due_us = self.now_us + int(delay_ms * US_PER_MS)
         heapq.heappush(self.heap, (due_us, next(self.sequence), action))
--- a/bench/virtual/world.py
+++ b/bench/virtual/world.py
@@ -84,6 +84,8 @@
         self.frames: set[tuple[str, str, int]] = set()
         self.on_answer: Callable[[Answered], None] | None = None
         self.tokens = 0
+        self.begun_ms: dict[str, float] = {}
+        self.task_ms: dict[tuple[str, str], float] = {}
         entries = [f"entry-{index}" for index in range(plan.entries)]
         agents = [f"agent-{index}" for index in range(len(plan.slowness))]
         self.entries = entries
@@ -259,8 +261,17 @@
             self.schedule.after_ms(10.0, again)
             return
         node = self.nodes[receiver]
+        if isinstance(message, wire.Done):
+            self.note_response(message)
         self.deliver(node, node.run, message, sender)
 
+    def note_response(self, message: wire.Done) -> None:
+        """Record the response time of a task, by its first answer."""
+        attempt = message.attempt
+        key = (attempt.submission, attempt.task)
+        took_ms = self.schedule.now_us / US_PER_MS - self.begun_ms[key[0]]
+        self.task_ms.setdefault(key, took_ms)
+
     # The log.
 
     def poll_log(self, node: Node, run: int) -> None:
@@ -391,6 +402,7 @@
         self.tokens += 1
         token = self.tokens
         now_ms = self.schedule.now_us / US_PER_MS
+        self.begun_ms.setdefault(job.submission, now_ms)
         self.history.submitted.append(Submitted(now_ms, token, entry, job))
         node = self.nodes[entry]
         if not node.alive:
--- a/src/sardineferry/decision/agent/core.py
+++ b/src/sardineferry/decision/agent/core.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from sardineferry.decision import events
-from sardineferry.decision.agent import credits
 from sardineferry.decision.agent import starts
 from sardineferry.decision.agent.dump import dump_agent
 from sardineferry.decision.agent.state import AgentState
@@ -55,8 +54,6 @@
         if now_ms >= state.next_heartbeat_ms:
             state.next_heartbeat_ms = now_ms + state.policy.heartbeat_ms
             send_heartbeats(state, now_ms)
-            lapse_credits(state, now_ms)
-            credits.distribute(state, now_ms)
         if now_ms >= state.next_purge_ms:
             state.next_purge_ms = now_ms + PURGE_INTERVAL_MS
             state.table.purge(now_ms)
@@ -77,22 +74,10 @@
 
 def send_heartbeats(state: AgentState, now_ms: int) -> None:
     """Send a heartbeat, stamped by this clock, to each linked entry."""
-    beat = wire.Heartbeat(now_ms, state.in_use, state.queued_units)
+    beat = wire.Heartbeat(now_ms, state.load())
     state.effects.extend(Send(name, beat) for name in state.links)
 
 
-def lapse_credits(state: AgentState, now_ms: int) -> None:
-    """Take back credits of entries whose lease lapsed, and stale demand."""
-    ttl_ms = state.policy.demand_ttl_ms
-    for link in state.links.values():
-        if link.lease_until_ms <= now_ms:
-            link.held = 0
-            link.waiting = 0
-            link.recalled = False
-        if link.waiting and now_ms - link.demand_since_ms > ttl_ms:
-            link.waiting = 0
-
-
 @singledispatch
 def handle_event(event: object, state: AgentState, sender: str, now_ms: int) -> None:
     """Apply an event; unknown kinds are a programming error."""
@@ -115,7 +100,7 @@
         state.preset.version,
     )
     state.effects.append(Send(event.name, announce))
-    beat = wire.Heartbeat(now_ms, state.in_use, state.queued_units)
+    beat = wire.Heartbeat(now_ms, state.load())
     state.effects.append(Send(event.name, beat))
     if state.leaving:
         state.effects.append(Send(event.name, wire.Leaving("draining")))
@@ -125,21 +110,16 @@
 def on_link_down(
     event: events.LinkDown, state: AgentState, sender: str, now_ms: int
 ) -> None:
-    """Take back the credits of the entry."""
+    """Forget the entry; what it started goes on."""
     state.links.pop(event.name, None)
-    credits.distribute(state, now_ms)
 
 
 @handle_event.register
 def on_welcome(
     event: wire.Welcome, state: AgentState, sender: str, now_ms: int
 ) -> None:
-    """Grant the entry its share and learn of other entries."""
+    """Learn of the preset and of other entries."""
     adopt_preset(state, Preset(event.preset_version, event.preset_name))
-    link = state.links.get(sender)
-    if link is not None and not link.welcomed:
-        link.welcomed = True
-        credits.share_with(state, sender, now_ms)
     for address in event.addresses:
         room = len(state.known_addresses) < state.policy.max_entries
         if address not in state.known_addresses and room:
@@ -185,7 +165,6 @@
     for task, number in event.attempts:
         attempt = Attempt(event.submission, task, number)
         starts.revoke(state, sender, attempt, now_ms)
-    credits.distribute(state, now_ms)
 
 
 @handle_event.register
@@ -198,31 +177,6 @@
             for row in state.running.values()
             if row.attempt.submission == submission and row.task and row.task.idempotent
         )
-    credits.distribute(state, now_ms)
-
-
-@handle_event.register
-def on_demand(event: wire.Demand, state: AgentState, sender: str, now_ms: int) -> None:
-    """Record that an entry has tasks waiting."""
-    link = state.links.get(sender)
-    if link is None:
-        return
-    link.waiting = event.waiting
-    link.demand_since_ms = now_ms - event.oldest_ms
-    credits.distribute(state, now_ms)
-
-
-@handle_event.register
-def on_return(
-    event: wire.ReturnCredits, state: AgentState, sender: str, now_ms: int
-) -> None:
-    """Take unused credits back and pass them on."""
-    link = state.links.get(sender)
-    if link is None:
-        return
-    link.recalled = False
-    link.held = max(0, link.held - event.credits)
-    credits.distribute(state, now_ms)
 
 
 @handle_event.register
@@ -260,7 +214,6 @@
 ) -> None:
     """Tell the entry that the target did not start the task."""
     starts.release_refused(state, event.attempt, event.reason, now_ms)
-    credits.distribute(state, now_ms)
 
 
 @handle_event.register
@@ -311,10 +264,8 @@
 def on_entry_leaving(
     event: wire.EntryLeaving, state: AgentState, sender: str, now_ms: int
 ) -> None:
-    """Forget the demand of an entry that takes no more submissions."""
-    link = state.links.get(sender)
-    if link is not None:
-        link.waiting = 0
+    """Note that an entry takes no more submissions; its tasks go on."""
+    state.counters["entries_left"] += 1
 
 
 @handle_event.register
--- a/src/sardineferry/decision/agent/dump.py
+++ b/src/sardineferry/decision/agent/dump.py
@@ -16,8 +16,6 @@
 class LinkDump(TypedDict):
     """One linked entry; the lease is in milliseconds of the agent's clock."""
 
-    held: int
-    waiting: int
     lease_until_ms: int
 
 
@@ -57,8 +55,6 @@
         running=sorted("/".join(key) for key in state.running),
         links={
             name: LinkDump(
-                held=link.held,
-                waiting=link.waiting,
                 lease_until_ms=link.lease_until_ms,
             )
             for name, link in sorted(state.links.items())
--- a/src/sardineferry/decision/agent/starts.py
+++ b/src/sardineferry/decision/agent/starts.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from sardineferry.decision.agent import credits
 from sardineferry.decision.agent.table import Row
 from sardineferry.decision.cost import task_units
 from sardineferry.decision.effects import RunTask
@@ -20,6 +19,7 @@
     from sardineferry.messages.wire import Start
 
 __all__ = [
+    "NO_CAPACITY",
     "drop_unstarted",
     "finish",
     "receive_start",
@@ -30,10 +30,13 @@
 ]
 
 
+NO_CAPACITY = "no capacity"
+LARGE_SHARE = 0.25
+
+
 def receive_start(state: AgentState, entry: str, start: Start, now_ms: int) -> None:
     """Run, queue, refuse or answer again the task of a start message."""
     attempt = start.attempt
-    credits.spend(state, entry, task_units(start.task, state.shape))
     row = state.table.find(attempt.submission, attempt.task)
     if row is not None and answer_again(state, entry, start, row, now_ms):
         return
@@ -57,7 +60,7 @@
         if reruns and row.result.state != "answered":
             return False
         state.counters["repeated_answers"] += 1
-        state.effects.append(Send(entry, Done(start.attempt, row.result, 0)))
+        state.effects.append(Send(entry, Done(start.attempt, row.result, state.load())))
         return True
     row.attempt = max(row.attempt, start.attempt, key=lambda item: item.number)
     row.reply_to = entry
@@ -66,7 +69,7 @@
 
 def resend_refusal(state: AgentState, entry: str, start: Start, now_ms: int) -> bool:
     """Refuse an attempt that is covered by a tombstone."""
-    send_refusal(state, entry, start.attempt, "revoked", False, 0)
+    send_refusal(state, entry, start.attempt, "revoked", False)
     return True
 
 
@@ -93,10 +96,12 @@
     if state.accelerators_in_use + task.accelerators > state.shape.accelerators:
         return "no accelerator free" if task.accelerators else ""
     units = reserved_units(state, start)
-    taken = state.in_use + state.queued_units
-    if taken + units > state.units + state.policy.extra_units:
-        return "no capacity"
-    return ""
+    if state.load() + units <= state.units + state.policy.queue_units:
+        return ""
+    # A large task would never find enough free at once: it may queue first.
+    if units > LARGE_SHARE * state.units and not state.queue:
+        return ""
+    return NO_CAPACITY
 
 
 def reserved_units(state: AgentState, start: Start) -> int:
@@ -152,7 +157,7 @@
         state.queued_units -= row.units
         if late:
             row.advance("refuse")
-            send_refusal(state, row.reply_to, row.attempt, "deadline", False, 0)
+            send_refusal(state, row.reply_to, row.attempt, "deadline", False)
             continue
         run(state, row, now_ms)
 
@@ -178,10 +183,10 @@
     row.result = result
     row.task = None
     run_queue(state, now_ms)
-    granted = credits.regrant(state, row.reply_to, row.units, now_ms)
     if row.reply_to in state.links:
-        state.effects.append(Send(row.reply_to, Done(row.attempt, result, granted)))
-    credits.distribute(state, now_ms)
+        state.effects.append(
+            Send(row.reply_to, Done(row.attempt, result, state.load()))
+        )
 
 
 def release_refused(
@@ -194,8 +199,7 @@
     release(state, row)
     row.state = "tombstone"
     run_queue(state, now_ms)
-    granted = credits.regrant(state, row.reply_to, row.units, now_ms)
-    send_refusal(state, row.reply_to, row.attempt, reason, True, granted)
+    send_refusal(state, row.reply_to, row.attempt, reason, True)
 
 
 def refuse_start(
@@ -207,7 +211,7 @@
         row.advance("refuse")
         held = open_rows(state, start._replace(epoch=0), now_ms)
         state.table.put(held, row)
-    send_refusal(state, entry, start.attempt, reason, False, 0)
+    send_refusal(state, entry, start.attempt, reason, False)
 
 
 def send_refusal(
@@ -216,12 +220,11 @@
     attempt: Attempt,
     reason: str,
     fault: bool,
-    granted: int,
 ) -> None:
     """Tell an entry that an attempt will never start."""
     state.counters["refusals"] += 1
     if entry in state.links:
-        state.effects.append(Send(entry, Refused(attempt, reason, granted, fault)))
+        state.effects.append(Send(entry, Refused(attempt, reason, state.load(), fault)))
 
 
 def revoke(state: AgentState, entry: str, attempt: Attempt, now_ms: int) -> None:
@@ -231,14 +234,14 @@
         return
     if row is not None and row.state == "queued":
         remove_queued(state, row)
-        send_refusal(state, entry, attempt, "revoked", False, 0)
+        send_refusal(state, entry, attempt, "revoked", False)
         return
     if row is None or row.attempt.number < attempt.number:
         row = Row(attempt, None, now_ms, entry)
         row.advance("refuse")
         expires_at_ms = now_ms + state.policy.horizon_ms
         state.table.put(state.table.open(attempt.submission, expires_at_ms), row)
-    send_refusal(state, entry, attempt, "revoked", False, 0)
+    send_refusal(state, entry, attempt, "revoked", False)
 
 
 def remove_queued(state: AgentState, row: Row) -> None:
@@ -252,7 +255,7 @@
     """Refuse everything that is queued."""
     for row in list(state.queue):
         remove_queued(state, row)
-        send_refusal(state, row.reply_to, row.attempt, reason, False, 0)
+        send_refusal(state, row.reply_to, row.attempt, reason, False)
 
 
 def drop_unstarted(state: AgentState, submission: str) -> None:
@@ -260,4 +263,4 @@
     for row in list(state.queue):
         if row.attempt.submission == submission:
             remove_queued(state, row)
-            send_refusal(state, row.reply_to, row.attempt, "cancelled", False, 0)
+            send_refusal(state, row.reply_to, row.attempt, "cancelled", False)
--- a/src/sardineferry/decision/agent/state.py
+++ b/src/sardineferry/decision/agent/state.py
@@ -23,43 +23,29 @@
 class AgentPolicy(NamedTuple):
     """Limits of an agent; times are in milliseconds.
 
-    ``extra_units`` may queue beyond the target's units to hide the round
-    trip. Rows of non-idempotent tasks are kept for ``horizon_ms``, of
-    idempotent ones for ``short_horizon_ms`` past their deadline. With
-    ``recalls`` false unused credits stay with the entry that holds them.
+    ``queue_units`` may queue beyond the target's units; what exceeds them is
+    refused, so that it can run elsewhere. Rows of non-idempotent tasks are
+    kept for ``horizon_ms``, of idempotent ones for ``short_horizon_ms`` past
+    their deadline.
     """
 
     lease_ms: int = 4_000
     heartbeat_ms: int = 1_000
-    extra_units: int = 0
+    queue_units: int = 1
     table_limit: int = 50_000
     horizon_ms: int = 600_000
     short_horizon_ms: int = 10_000
-    demand_ttl_ms: int = 1_000
-    recalls: bool = True
     max_entries: int = 6
 
 
 class EntryLink:
     """What the agent knows of one linked entry; times in milliseconds."""
 
-    __slots__ = (
-        "demand_since_ms",
-        "held",
-        "lease_until_ms",
-        "recalled",
-        "waiting",
-        "welcomed",
-    )
+    __slots__ = ("lease_until_ms",)
 
     def __init__(self, lease_until_ms: int) -> None:
-        """Start without credits and without demand."""
+        """Start with a lease."""
         self.lease_until_ms = lease_until_ms
-        self.held = 0
-        self.waiting = 0
-        self.demand_since_ms = 0
-        self.recalled = False
-        self.welcomed = False
 
 
 class AgentState:
@@ -96,8 +82,6 @@
         self.counters: Counter[str] = Counter()
         self.effects: list[Effect] = []
 
-    def free_units(self) -> int:
-        """Return the units that are neither in use, queued nor promised."""
-        promised = sum(link.held for link in self.links.values())
-        pool = self.units + self.policy.extra_units
-        return pool - self.in_use - self.queued_units - promised
+    def load(self) -> int:
+        """Return the units that run or queue."""
+        return self.in_use + self.queued_units
--- a/src/sardineferry/decision/cost.py
+++ b/src/sardineferry/decision/cost.py
@@ -1,4 +1,4 @@
-"""Prices tasks in the units that agents grant as credits.
+"""Prices tasks in the units that targets offer.
 
 A minion sells slots: one unit a task. A worker sells processors, each with
 its share of the memory; accelerators are checked beside the units.
--- a/src/sardineferry/decision/entry/core.py
+++ b/src/sardineferry/decision/entry/core.py
@@ -160,33 +160,10 @@
     if member is None:
         return
     members.hear(state, member, now_ms)
+    state.members[sender].note_load(event.load, now_ms)
     state.effects.append(Send(sender, wire.LeaseEcho(event.sent_at_ms)))
 
 
-@handle_event.register
-def on_grant(event: wire.Grant, state: EntryState, sender: str, now_ms: int) -> None:
-    """Use newly granted credits."""
-    member = state.members.get(sender)
-    if member is None:
-        return
-    member.last_heard_ms = now_ms
-    state.add_credits(member, event.credits)
-    dispatch(state, now_ms)
-
-
-@handle_event.register
-def on_recall(event: wire.Recall, state: EntryState, sender: str, now_ms: int) -> None:
-    """Give back credits that no waiting task can use."""
-    member = state.members.get(sender)
-    if member is None:
-        return
-    dispatch(state, now_ms)
-    returned = min(event.credits, member.credits)
-    state.add_credits(member, -returned)
-    state.counters["returns"] += 1
-    state.effects.append(Send(sender, wire.ReturnCredits(returned)))
-
-
 @handle_event.register
 def on_done(event: wire.Done, state: EntryState, sender: str, now_ms: int) -> None:
     """Take the result of an attempt."""
--- a/src/sardineferry/decision/entry/dump.py
+++ b/src/sardineferry/decision/entry/dump.py
@@ -20,8 +20,8 @@
     data_centre: str
     state: str
     linked: bool
-    credits: int
     in_flight: int
+    others: float
     health: str
     factor: float
 
@@ -82,8 +82,8 @@
                 data_centre=member.data_centre,
                 state=member.state,
                 linked=member.linked,
-                credits=member.credits,
                 in_flight=len(member.in_flight),
+                others=round(member.others, 1),
                 health=member.health.state,
                 factor=round(member.factor.value, 2),
             )
--- a/src/sardineferry/decision/entry/members.py
+++ b/src/sardineferry/decision/entry/members.py
@@ -4,9 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from sardineferry.decision.cost import task_units
 from sardineferry.decision.effects import Send
 from sardineferry.decision.entry import recovery
 from sardineferry.decision.entry import results
+from sardineferry.decision.entry.routing import sort_members
 from sardineferry.decision.entry.routing import start_message
 from sardineferry.decision.entry.state import Member
 from sardineferry.messages import wire
@@ -17,6 +19,7 @@
 __all__ = ["announce", "disconnect", "hear", "leave", "scan"]
 
 FORGET_MS = 60_000
+DISTANCE_MS = 3.0
 MASS_SHARE = 0.5
 MASS_MINIMUM = 3
 MASS_PATIENCE = 4
@@ -28,8 +31,10 @@
     member = Member(
         event.agent, event.incarnation, event.data_centre, event.shape, now_ms
     )
+    if event.data_centre != state.data_centre:
+        member.distance_ms = DISTANCE_MS
     state.members[event.agent] = member
-    state.creditors.pop(event.agent, None)
+    sort_members(state)
     welcome(state, member, event.preset_version)
     if earlier is None:
         return
@@ -59,6 +64,7 @@
     """Repeat what is in flight; the start table answers what it knows."""
     for key, task in earlier.in_flight.items():
         member.in_flight[key] = task
+        member.own += task_units(task.task, member.shape)
         if task.state == "uncertain":
             task.advance("send")
         message = start_message(task, member, now_ms)
@@ -74,14 +80,16 @@
     member.last_heard_ms = now_ms
     if member.state == "suspect":
         member.advance("hear")
-        state.add_credits(member, 0)
+        sort_members(state)
     if member.state == "lost":
         revived = Member(
             member.name, member.incarnation, member.data_centre, member.shape, now_ms
         )
         revived.factor = member.factor
         revived.health = member.health
+        revived.distance_ms = member.distance_ms
         state.members[member.name] = revived
+        sort_members(state)
         resume(state, revived, member, now_ms)
 
 
@@ -90,14 +98,13 @@
     if member.state == "lost":
         return
     member.advance("leave")
-    state.creditors.pop(member.name, None)
+    sort_members(state)
 
 
 def disconnect(state: EntryState, member: Member) -> None:
     """Note that the link closed; what is in flight is uncertain."""
     member.linked = False
-    member.credits = 0
-    state.creditors.pop(member.name, None)
+    sort_members(state)
     if member.state != "lost":
         member.advance("disconnect")
     for task in member.in_flight.values():
@@ -117,7 +124,6 @@
         silent_ms = now_ms - member.last_heard_ms
         if member.state == "active" and silent_ms > policy.suspect_ms:
             member.advance("silence")
-            state.creditors.pop(member.name, None)
     silent = [
         member
         for member in state.members.values()
@@ -135,7 +141,7 @@
 def drop(state: EntryState, member: Member, now_ms: int) -> None:
     """Retry idempotent tasks of a lost agent; keep waiting for the others."""
     member.advance("lapse")
-    state.creditors.pop(member.name, None)
+    sort_members(state)
     state.counters["members_lost"] += 1
     for task in list(member.in_flight.values()):
         if task.task.idempotent:
--- a/src/sardineferry/decision/entry/outcomes.py
+++ b/src/sardineferry/decision/entry/outcomes.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from sardineferry.decision.cost import task_units
 from sardineferry.decision.effects import Answer
 from sardineferry.decision.effects import Send
 from sardineferry.decision.entry.jobs import whole_answer
@@ -100,5 +101,7 @@
     job = task.job.job
     member = state.members.get(agent)
     if member is not None:
-        member.in_flight.pop((job.submission, task.task.id), None)
+        held = member.in_flight.pop((job.submission, task.task.id), None)
+        if held is not None:
+            member.own -= task_units(task.task, member.shape)
     state.queue.note_running(job.team, -1)
--- a/src/sardineferry/decision/entry/policy.py
+++ b/src/sardineferry/decision/entry/policy.py
@@ -11,9 +11,10 @@
     """Limits of an entry; times are in milliseconds.
 
     ``queue_limit`` bounds waiting tasks; ``team_quotas`` bounds the units
-    that a team may have running over all entries. ``demand_fanout`` is the
-    number of agents asked when no credit is held, ``demand_ttl_ms`` the time
-    until they are asked again, ``demand_after_ms`` the wait before the first.
+    that a team may have running over all entries. An agent that refused a
+    start for lack of capacity gets none for ``full_ms``, unless it answers.
+    With ``load_half_life_ms`` above zero, what other entries had in flight by
+    the last report is taken to end at that pace.
     """
 
     team_quotas: dict[str, int]
@@ -29,9 +30,8 @@
     recovery_ms: int = 2_000
     digest_ms: int = 1_000
     republish_ms: int = 60_000
-    demand_fanout: int = 4
-    demand_ttl_ms: int = 500
-    demand_after_ms: int = 0
+    full_ms: int = 20
+    load_half_life_ms: int = 0
     hedge_factor: float = 3.0
     hedge_floor_ms: int = 500
     attempt_limit: int = 6
--- a/src/sardineferry/decision/entry/recovery.py
+++ b/src/sardineferry/decision/entry/recovery.py
@@ -8,6 +8,7 @@
 
 from typing import TYPE_CHECKING
 
+from sardineferry.decision.cost import task_units
 from sardineferry.decision.effects import Send
 from sardineferry.decision.entry.outcomes import end_task
 from sardineferry.decision.entry.outcomes import unplace
@@ -110,6 +111,7 @@
         task.placed[member.name] = row.number
         key = (task.job.job.submission, task.task.id)
         member.in_flight[key] = task
+        member.own += task_units(task.task, member.shape)
         state.queue.note_running(task.job.job.team, 1)
 
 
--- a/src/sardineferry/decision/entry/results.py
+++ b/src/sardineferry/decision/entry/results.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from sardineferry.decision.agent.starts import NO_CAPACITY
 from sardineferry.decision.budget import backoff_ms
 from sardineferry.decision.effects import Send
 from sardineferry.decision.entry.outcomes import end_task
@@ -35,12 +36,13 @@
     state: EntryState, member: Member, event: wire.Done, now_ms: int
 ) -> None:
     """Take the result of an attempt; one that is stale is dropped."""
-    state.add_credits(member, event.credits)
     task = find_attempt(state, member, event.attempt)
     if task is None:
         state.counters["stale_answers"] += 1
     else:
         take_result(state, member, task, event.result, now_ms)
+    member.note_load(event.load, now_ms)
+    member.last_done_ms = now_ms
     dispatch(state, now_ms)
 
 
@@ -147,11 +149,11 @@
     state: EntryState, member: Member, event: wire.Refused, now_ms: int
 ) -> None:
     """Route a task elsewhere that an agent provably did not start."""
-    state.add_credits(member, event.credits)
     state.counters["refusals"] += 1
     task = find_attempt(state, member, event.attempt)
     if task is not None:
         unplace(state, task, member.name)
+        note_full(state, member, event, now_ms)
         if event.fault:
             note_fault(state, member, task, now_ms)
             task.tried.add(member.name)
@@ -160,6 +162,16 @@
     dispatch(state, now_ms)
 
 
+def note_full(
+    state: EntryState, member: Member, event: wire.Refused, now_ms: int
+) -> None:
+    """Learn from a refusal for lack of capacity that a target is full."""
+    if event.reason != NO_CAPACITY:
+        return
+    member.note_load(max(event.load, member.capacity), now_ms)
+    member.full_until_ms = now_ms + state.policy.full_ms
+
+
 def requeue_refused(
     state: EntryState, task: TaskEntry, reason: str, now_ms: int
 ) -> None:
@@ -170,10 +182,10 @@
     if task.job.cancelled:
         give_up(state, task, "cancel", "cancelled", now_ms)
         return
-    if task.number < state.policy.attempt_limit:
+    if reason == NO_CAPACITY or task.number < state.policy.attempt_limit:
         state.queue.push(task, now_ms, front=True)
         return
-    if reason == "no capacity" or task.job.deadline_ms > now_ms:
+    if task.job.deadline_ms > now_ms:
         task.not_before_ms = now_ms + backoff_ms(min(10, task.number))
         state.delayed.append(task)
         return
@@ -201,20 +213,32 @@
 
 
 def hedge_late(state: EntryState, now_ms: int) -> None:
-    """Send a second attempt of idempotent tasks that take far too long."""
+    """Send a second attempt of idempotent tasks at targets that seem stuck."""
     if state.hedge_budget.tokens < 1.0 or state.queue.waiting:
         return
-    policy = state.policy
     for member in list(state.members.values()):
         for task in list(member.in_flight.values()):
-            if not task.task.idempotent or len(task.placed) > 1:
-                continue
-            usual_ms = policy.hedge_factor * expected_ms(state, task.task)
-            late_ms = max(policy.hedge_floor_ms, usual_ms * member.factor.value)
-            if now_ms - task.sent_at_ms < late_ms:
+            if not may_hedge(state, member, task, now_ms):
                 continue
             other = pick(state, task, now_ms)
             if other is None or not state.hedge_budget.spend():
                 return
             state.counters["hedges"] += 1
             send_task(state, task, other, now_ms)
+
+
+def may_hedge(state: EntryState, member: Member, task: TaskEntry, now_ms: int) -> bool:
+    """Tell whether a task is late because of its target.
+
+    A task may be long by itself; a target that answered others meanwhile is
+    not stuck.
+    """
+    if not task.task.idempotent or len(task.placed) > 1:
+        return False
+    if member.last_done_ms > task.sent_at_ms:
+        return False
+    usual_ms = expected_ms(state, task.task) * member.factor.value
+    late_ms = max(
+        state.policy.hedge_floor_ms, int(state.policy.hedge_factor * usual_ms)
+    )
+    return now_ms - task.sent_at_ms >= late_ms
--- a/src/sardineferry/decision/entry/routing.py
+++ b/src/sardineferry/decision/entry/routing.py
@@ -1,8 +1,8 @@
-"""Chooses an agent for each waiting task and asks for credits.
+"""Chooses an agent for each waiting task.
 
-A credit stands for a free unit of a target, so tasks wait here and not at a
-target. Among agents with credits the one with the least expected run time
-is chosen.
+Agents report their load with every answer. An entry keeps what it has in
+flight at a target within what the others seem to leave, so that tasks wait
+here, where they can still go anywhere, and no message is spent on asking.
 """
 
 from __future__ import annotations
@@ -31,11 +31,14 @@
     "may_send",
     "pick",
     "send_task",
+    "sort_members",
     "start_message",
     "team_limit",
 ]
 
 DEFAULT_RUN_MS = 200.0
+# Weight of a new sample of a kind of task.
+KIND_WEIGHT = 0.005
 
 
 def expected_ms(state: EntryState, task: Task) -> float:
@@ -53,7 +56,9 @@
     expected = expected_ms(state, task)
     member.factor.add(min(20.0, run_ms / max(1.0, expected)))
     scale = max(1, task.run_ms)
-    learned = state.kind_ms.setdefault(task.kind, Estimate(expected / scale, 0.02))
+    learned = state.kind_ms.setdefault(
+        task.kind, Estimate(expected / scale, KIND_WEIGHT)
+    )
     learned.add(run_ms / scale)
 
 
@@ -76,15 +81,32 @@
     return max(even, quota - elsewhere - silent * even)
 
 
-def may_send(member: Member, task: TaskEntry, now_ms: int) -> bool:
-    """Tell whether an agent may get this task now."""
-    if member.state != "active" or not member.linked:
-        return False
-    if not member.health.allows(now_ms):
+def share_of(state: EntryState, member: Member) -> int:
+    """Return an even share of a target's units among linked entries."""
+    entries = 1 + sum(1 for peer in state.peers.values() if peer.link)
+    return -(-member.capacity // entries)
+
+
+def others_of(state: EntryState, member: Member, now_ms: int) -> float:
+    """Return the units that other entries seem to have in flight."""
+    return member.others_now(now_ms, state.policy.load_half_life_ms)
+
+
+def may_send(
+    state: EntryState, member: Member, task: TaskEntry, units: int, now_ms: int
+) -> bool:
+    """Tell whether an agent may get this task now.
+
+    What this entry has in flight there stays within what others seem to
+    leave, or within an even share.
+    """
+    if member.full_until_ms > now_ms or member.name in task.placed:
         return False
-    if member.name in task.placed:
+    taken = member.own + units
+    room = member.capacity - others_of(state, member, now_ms)
+    if taken > room and member.own and taken > share_of(state, member):
         return False
-    if member.credits < task_units(task.task, member.shape):
+    if not member.health.allows(now_ms):
         return False
     roster = task.job.roster
     bound = not task.task.idempotent and roster is not None
@@ -93,17 +115,39 @@
     return fits(task.task, member.shape)
 
 
+def sort_members(state: EntryState) -> None:
+    """Order active agents by what a mean task takes there."""
+    mean_ms = max(
+        (learned.value for learned in state.kind_ms.values()), default=DEFAULT_RUN_MS
+    )
+    state.fastest_first = sorted(
+        (
+            member
+            for member in state.members.values()
+            if member.linked and member.state == "active"
+        ),
+        key=lambda member: member.factor.value * mean_ms + member.distance_ms,
+    )
+
+
 def pick(state: EntryState, task: TaskEntry, now_ms: int) -> Member | None:
-    """Return the agent with credit and the least expected run time.
+    """Return the fastest agent with a unit free, else the least delayed.
 
     Agents on which the task failed are taken only when no other is left.
     """
     best: Member | None = None
     best_rank = (True, 0.0)
-    for member in state.creditors.values():
-        if not may_send(member, task, now_ms):
+    for member in state.fastest_first:
+        units = task_units(task.task, member.shape)
+        if not may_send(state, member, task, units, now_ms):
             continue
-        rank = (member.name in task.tried, member.factor.value)
+        others = others_of(state, member, now_ms)
+        excess = member.own + others + units - member.capacity
+        failed = member.name in task.tried
+        if excess <= 0 and not failed:
+            return member
+        delay = max(0.0, excess) / member.capacity
+        rank = (failed, member.factor.value * (1 + delay))
         if best is None or rank < best_rank:
             best = member
             best_rank = rank
@@ -118,7 +162,7 @@
     job = task.job.job
     task.placed[member.name] = task.number
     member.in_flight[job.submission, task.task.id] = task
-    state.add_credits(member, -task_units(task.task, member.shape))
+    member.own += task_units(task.task, member.shape)
     state.queue.note_running(job.team, 1)
     member.health.note_sent()
     state.counters["starts"] += 1
@@ -144,12 +188,10 @@
 
 
 def dispatch(state: EntryState, now_ms: int) -> None:
-    """Send waiting tasks while credits last, then ask for more credits."""
+    """Send waiting tasks while agents seem to have units free."""
     release_delayed(state, now_ms)
     while state.queue.waiting and dispatch_one(state, now_ms):
         pass
-    if state.queue.waiting:
-        ask_for_credits(state, now_ms)
 
 
 def release_delayed(state: EntryState, now_ms: int) -> None:
@@ -181,35 +223,3 @@
         send_task(state, task, member, now_ms)
         return True
     return False
-
-
-def ask_for_credits(state: EntryState, now_ms: int) -> None:
-    """Tell the fastest agents that tasks wait, each at most once per TTL."""
-    policy = state.policy
-    oldest_ms = now_ms - state.queue.oldest_queued_at_ms()
-    if oldest_ms < policy.demand_after_ms:
-        return
-    due = [
-        member
-        for member in state.members.values()
-        if member.linked
-        and member.state == "active"
-        and member.health.allows(now_ms)
-        and now_ms - member.demand_sent_ms >= policy.demand_ttl_ms
-    ]
-    asked = len(state.members) - len(due)
-    room = policy.demand_fanout - asked
-    if room <= 0 or not due:
-        return
-    due.sort(key=lambda member: (member.demand_sent_ms, member.factor.value))
-    message = wire.Demand(waiting_units(state), max(0, oldest_ms))
-    for member in due[:room]:
-        member.demand_sent_ms = now_ms
-        state.counters["demands"] += 1
-        state.effects.append(Send(member.name, message))
-
-
-def waiting_units(state: EntryState) -> int:
-    """Return the units to ask for, at least those the heads of queues need."""
-    heads = [max(1, team[0].task.processors) for team in state.queue.teams.values()]
-    return max(state.queue.waiting, *heads)
--- a/src/sardineferry/decision/entry/state.py
+++ b/src/sardineferry/decision/entry/state.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from typing import TYPE_CHECKING
 
 from sardineferry.charts import load_chart
 from sardineferry.decision.budget import Budget
 from sardineferry.decision.claims import ClaimTable
+from sardineferry.decision.cost import total_units
 from sardineferry.decision.entry.queue import FairQueue
 from sardineferry.decision.estimate import Estimate
 from sardineferry.decision.health import Health
@@ -27,24 +29,36 @@
 __all__ = ["ClaimBatch", "EntryState", "Member", "Peer", "PresetChange"]
 
 
+# Weight of a new sample; speeds change seldom, single run times vary widely.
+FACTOR_WEIGHT = 0.01
+
+
 class Member:
     """One agent as this entry sees it; times in milliseconds.
 
-    ``factor`` is the learned run time relative to what is expected of a
-    task: 2.0 is a target half as fast as the mean.
+    ``own`` is the units this entry has in flight there and ``others`` what
+    other entries had by the latest report. ``factor`` is
+    the learned run time relative to what is expected of a task: 2.0 is a
+    target half as fast as the mean. ``distance_ms`` is a round trip longer
+    than one within the data centre.
     """
 
     __slots__ = (
-        "credits",
+        "capacity",
         "data_centre",
-        "demand_sent_ms",
+        "distance_ms",
         "factor",
+        "full_until_ms",
         "health",
         "in_flight",
         "incarnation",
+        "last_done_ms",
         "last_heard_ms",
         "linked",
         "name",
+        "others",
+        "own",
+        "reported_at_ms",
         "shape",
         "state",
     )
@@ -57,7 +71,7 @@
         shape: TargetShape,
         now_ms: int,
     ) -> None:
-        """Start active, without credits."""
+        """Start active, with nothing in flight."""
         self.name = name
         self.incarnation = incarnation
         self.data_centre = data_centre
@@ -65,9 +79,14 @@
         self.state = load_chart("member").initial
         self.linked = True
         self.last_heard_ms = now_ms
-        self.demand_sent_ms = -1_000_000
-        self.credits = 0
-        self.factor = Estimate(1.0)
+        self.last_done_ms = 0
+        self.capacity = total_units(shape)
+        self.distance_ms = 0.0
+        self.full_until_ms = 0
+        self.own = 0
+        self.others = 0.0
+        self.reported_at_ms = now_ms
+        self.factor = Estimate(1.0, FACTOR_WEIGHT)
         self.health = Health()
         self.in_flight: dict[tuple[str, str], TaskEntry] = {}
 
@@ -75,6 +94,20 @@
         """Return the name that rosters use: one per incarnation."""
         return f"{self.name}#{self.incarnation}"
 
+    def note_load(self, load: int, now_ms: int) -> None:
+        """Learn from a reported load what other entries have in flight."""
+        self.others = max(0.0, float(load - self.own))
+        self.reported_at_ms = now_ms
+        if load < self.capacity:
+            self.full_until_ms = 0
+
+    def others_now(self, now_ms: int, half_life_ms: int) -> float:
+        """Return what others have in flight, if their tasks end unseen."""
+        if half_life_ms == 0:
+            return self.others
+        age_ms = now_ms - self.reported_at_ms
+        return self.others * math.exp2(-age_ms / half_life_ms)
+
     def advance(self, event: str) -> None:
         """Move along the chart."""
         self.state = load_chart("member").advance(self.state, event)
@@ -159,7 +192,7 @@
         self.policy = policy
         self.random = random
         self.members: dict[str, Member] = {}
-        self.creditors: dict[str, Member] = {}
+        self.fastest_first: list[Member] = []
         self.peers: dict[str, Peer] = {}
         self.jobs: dict[str, JobEntry] = {}
         self.live_jobs: dict[str, JobEntry] = {}
@@ -198,11 +231,3 @@
         """Return a number that is unique within this incarnation."""
         self.sequence += 1
         return self.sequence
-
-    def add_credits(self, member: Member, units: int) -> None:
-        """Change what a member has granted, never below zero."""
-        member.credits = max(0, member.credits + units)
-        if member.credits > 0 and member.linked:
-            self.creditors[member.name] = member
-        else:
-            self.creditors.pop(member.name, None)
--- a/src/sardineferry/decision/entry/timers.py
+++ b/src/sardineferry/decision/entry/timers.py
@@ -16,6 +16,7 @@
 from sardineferry.decision.entry.outcomes import end_task
 from sardineferry.decision.entry.outcomes import give_up
 from sardineferry.decision.entry.routing import dispatch
+from sardineferry.decision.entry.routing import sort_members
 from sardineferry.messages import wire
 
 if TYPE_CHECKING:
@@ -93,6 +94,7 @@
     if now_ms >= state.next_member_scan_ms:
         state.next_member_scan_ms = now_ms + MEMBER_SCAN_MS
         members.scan(state, now_ms)
+        sort_members(state)
     if now_ms >= state.next_digest_ms:
         state.next_digest_ms = now_ms + state.policy.digest_ms
         peers.send_digests(state)
--- a/src/sardineferry/factory.py
+++ b/src/sardineferry/factory.py
@@ -35,9 +35,8 @@
         team_quotas=settings.teams,
         queue_limit=settings.queue_limit,
         claim_interval_ms=settings.claim_interval_ms,
-        demand_fanout=settings.demand_fanout,
-        demand_ttl_ms=settings.demand_ttl_ms,
-        demand_after_ms=settings.demand_after_ms,
+        full_ms=settings.full_ms,
+        load_half_life_ms=settings.load_half_life_ms,
         republish_ms=settings.republish_ms,
     )
     source = random.Random()
@@ -56,8 +55,7 @@
     """Build an agent; its threads are not started."""
     configure_logs(settings.log_level, settings.log_json)
     policy = AgentPolicy(
-        extra_units=settings.extra_units,
-        recalls=settings.recalls,
+        queue_units=settings.queue_units,
         table_limit=settings.table_limit,
     )
     core = AgentCore(
--- a/src/sardineferry/messages/wire.py
+++ b/src/sardineferry/messages/wire.py
@@ -14,7 +14,6 @@
 __all__ = [
     "Announce",
     "Cancel",
-    "Demand",
     "Done",
     "DrainRequest",
     "DumpReply",
@@ -22,7 +21,6 @@
     "EntryLeaving",
     "Forward",
     "Forwarded",
-    "Grant",
     "Heartbeat",
     "Inquire",
     "LeaseEcho",
@@ -30,11 +28,9 @@
     "PeerDigest",
     "PeerHello",
     "PresetNotice",
-    "Recall",
     "Refused",
     "Report",
     "ReportedTask",
-    "ReturnCredits",
     "Revoke",
     "Start",
     "Welcome",
@@ -53,45 +49,36 @@
 
 
 class Heartbeat(NamedTuple):
-    """Agent to entry: ``sent_at_ms`` is on the agent's monotonic clock."""
+    """Agent to entry: ``sent_at_ms`` is on the agent's monotonic clock.
 
-    sent_at_ms: int
-    running: int
-    queued: int
-
-
-class Grant(NamedTuple):
-    """Agent to entry: permits that many more units of tasks to be started."""
-
-    credits: int
-
-
-class Recall(NamedTuple):
-    """Agent to entry: asks for unused credits back for a waiting entry."""
+    ``load`` is the units that run or queue at the target.
+    """
 
-    credits: int
+    sent_at_ms: int
+    load: int
 
 
 class Done(NamedTuple):
     """Agent to entry: the result of an attempt.
 
-    ``credits`` are granted again with the message.
+    ``load`` is the units that run or queue at the target after it.
     """
 
     attempt: Attempt
     result: TaskResult
-    credits: int
+    load: int
 
 
 class Refused(NamedTuple):
     """Agent to entry: the attempt was not started and never will be.
 
-    ``fault`` says that the target, not the request, is to blame.
+    ``load`` is the units that run or queue at the target; ``fault`` says that
+    the target, not the request, is to blame.
     """
 
     attempt: Attempt
     reason: str
-    credits: int
+    load: int
     fault: bool
 
 
@@ -162,19 +149,6 @@
     submissions: tuple[str, ...]
 
 
-class Demand(NamedTuple):
-    """Entry to agent: units that wait at the entry, the oldest for a time."""
-
-    waiting: int
-    oldest_ms: int
-
-
-class ReturnCredits(NamedTuple):
-    """Entry to agent: gives back unused credits."""
-
-    credits: int
-
-
 class PresetNotice(NamedTuple):
     """Tells the preset in force; receivers adopt only higher versions."""
 
@@ -242,7 +216,6 @@
 WireMessage = (
     Announce
     | Cancel
-    | Demand
     | Done
     | DrainRequest
     | DumpReply
@@ -250,7 +223,6 @@
     | EntryLeaving
     | Forward
     | Forwarded
-    | Grant
     | Heartbeat
     | Inquire
     | LeaseEcho
@@ -258,10 +230,8 @@
     | PeerDigest
     | PeerHello
     | PresetNotice
-    | Recall
     | Refused
     | Report
-    | ReturnCredits
     | Revoke
     | Start
     | Welcome
--- a/src/sardineferry/settings/agent.py
+++ b/src/sardineferry/settings/agent.py
@@ -14,6 +14,8 @@
 
     ``target`` is the ``host:port`` of the target's HTTP service and
     ``entries`` the ``host:port`` of entries to announce the target to.
+    ``queue_units`` may queue beside the target: none answers soonest, more
+    of them save refused messages.
     """
 
     name: str
@@ -21,8 +23,7 @@
     target: str
     entries: tuple[str, ...]
     shape: TargetShape
-    extra_units: int = 0
-    recalls: bool = True
+    queue_units: int = 1
     table_limit: int = 50_000
     statsd: str = ""
     log_level: str = "INFO"
--- a/src/sardineferry/settings/entry.py
+++ b/src/sardineferry/settings/entry.py
@@ -24,9 +24,8 @@
     http_threads: int = 64
     queue_limit: int = 20_000
     claim_interval_ms: int = 10
-    demand_fanout: int = 4
-    demand_ttl_ms: int = 500
-    demand_after_ms: int = 0
+    full_ms: int = 20
+    load_half_life_ms: int = 0
     republish_ms: int = 60_000
     drain_linger_ms: int = 500
     statsd: str = ""
