--- a/src/sardineferry/decision/entry/members.py
+++ b/src/sardineferry/decision/entry/members.py
@@ -19,6 +19,7 @@
 __all__ = ["announce", "disconnect", "hear", "leave", "scan"]
 
 FORGET_MS = 60_000
+NAMED_ENTRIES = 5
 DISTANCE_MS = 3.0
 MASS_SHARE = 0.5
 UNUSED_MS = 5_000
@@ -50,12 +51,16 @@
 
 
 def welcome(state: EntryState, member: Member, preset_version: int) -> None:
-    """Tell an agent of the preset and the other entries."""
-    addresses = [peer.address for peer in state.peers.values() if peer.address]
+    """Tell an agent of the preset and of entries, its data centre's first."""
+    peers = sorted(
+        (peer for peer in state.peers.values() if peer.address),
+        key=lambda peer: (peer.data_centre != member.data_centre, peer.address),
+    )
+    addresses = [peer.address for peer in peers[:NAMED_ENTRIES]]
     message = wire.Welcome(
         state.name,
         state.incarnation,
-        (state.address, *sorted(addresses)),
+        (state.address, *addresses),
         state.preset.name,
         state.preset.version,
     )
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Tests."""
+
+from __future__ import annotations
