Tick and poll less often while idle; prove the worker's relief

Cause: an idle entry took 2.65% of a core with 10 agents and 2 peers, over the 1.8% of the target, for ticks every 20 ms and 8 polls of the log a second. Change: a core says how long its next tick may wait, events hasten it; claims are polled every second, configuration every half. Process tests show throttle, checkpoint and stop on an overcommitted worker.

--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -34,7 +34,8 @@
 CHANGE_BOUND_S = 6.0
 ROSTER_BYTES = 20
 CLAIM_BYTES = 30
-POLL_S = 0.25
+CONFIG_POLL_S = 0.5
+CLAIM_POLL_S = 1.0
 APPEND_S = 0.010
 DAY_S = 86_400
 
@@ -222,7 +223,7 @@
     bookings = STARTS_PER_S / TASKS_PER_JOB * BOOKING_SHARE
     appends = min(bookings, entries / CLAIM_INTERVAL_S)
     interval_s = entries / LOG_APPENDS_PER_S
-    seen_s = 2 * APPEND_S + POLL_S + 0.1
+    seen_s = 2 * APPEND_S + CONFIG_POLL_S + 0.1
     role = "log"
     return [
         Row(
@@ -244,10 +245,10 @@
         Row(
             role,
             "reads",
-            entries * 2 / POLL_S,
+            entries * (1 / CONFIG_POLL_S + 1 / CLAIM_POLL_S),
             "per s",
             None,
-            "Two streams an entry, polled 4 times a second.",
+            "Two streams an entry, polled every 0.5 and 1 s.",
         ),
         Row(
             "operator",
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -28,10 +28,25 @@
 
 
 class TargetPlan(NamedTuple):
-    """One target: its slots and how much slower than declared it runs."""
+    """One target: its slots and how much slower than declared it runs.
+
+    A worker has as many processors, each with 1,000 MB.
+    """
 
     slots: int = 8
     slowness: float = 1.0
+    kind: str = "minion"
+
+    def shape(self) -> dict[str, object]:
+        """Return the shape in the agent's settings."""
+        if self.kind == "minion":
+            return {"kind": "minion", "slots": self.slots}
+        return {
+            "kind": "worker",
+            "processors": self.slots,
+            "memory_mb": 1_000 * self.slots,
+            "rack": "rack-1",
+        }
 
 
 def free_ports(count: int) -> list[int]:
@@ -170,7 +185,7 @@
             "data_centre": "gresik",
             "target": self.targets[index],
             "entries": self.links,
-            "shape": {"kind": "minion", "slots": self.plans[index].slots},
+            "shape": self.plans[index].shape(),
         }
         path = self.settings_file(f"agent-{index}", settings)
         self.spawn(f"agent-{index}", "sardineferry-agent", path)
--- a/bench/virtual/nodes.py
+++ b/bench/virtual/nodes.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sardineferry.decision.entry import EntryCore
+from sardineferry.decision.entry.core import BUSY_TICK_MS
 
 if TYPE_CHECKING:
     from sardineferry.decision.agent import AgentCore
@@ -12,9 +13,6 @@
 
 __all__ = ["Node", "TargetFake"]
 
-ENTRY_TICK_MS = 20
-AGENT_TICK_MS = 100
-
 
 class TargetFake:
     """The behaviour of an agent's target; faults are plain attributes.
@@ -48,10 +46,10 @@
         self.target = TargetFake(1.0)
 
     def tick_ms(self) -> int:
-        """Return the interval of ticks."""
+        """Return the interval of ticks; entries are never idle for long."""
         if isinstance(self.core, EntryCore):
-            return ENTRY_TICK_MS
-        return AGENT_TICK_MS
+            return BUSY_TICK_MS
+        return self.core.tick_interval_ms()
 
     def identity(self) -> str:
         """Name this incarnation."""
--- a/src/sardineferry/agent/process.py
+++ b/src/sardineferry/agent/process.py
@@ -29,7 +29,6 @@
 
 __all__ = ["AgentProcess"]
 
-TICK_MS = 100
 STEP_S = 0.5
 DRAIN_LIMIT_S = 330.0
 
@@ -58,7 +57,7 @@
         )
         self.usage = UsagePoll(settings.target, mailbox)
         self.dialers: dict[str, Dialer] = {}
-        self.loop = CoreLoop(core, mailbox, self.perform, links, TICK_MS)
+        self.loop = CoreLoop(core, mailbox, self.perform, links)
         self.metrics = MetricsReporter(
             settings.statsd, f"agent.{settings.name}", core.state.counters
         )
--- a/src/sardineferry/core_loop.py
+++ b/src/sardineferry/core_loop.py
@@ -35,6 +35,9 @@
     def tick(self, now_ms: int) -> list[Effect]:
         """Apply what is due by the clock."""
 
+    def tick_interval_ms(self) -> int:
+        """Return how long the next tick may wait."""
+
     def take_effects(self) -> list[Effect]:
         """Return and clear the collected effects."""
 
@@ -48,7 +51,6 @@
         mailbox: Mailbox,
         perform: Callable[[Effect], None],
         links: LinkRegistry,
-        tick_interval_ms: int,
     ) -> None:
         """Name the core, its mailbox and what carries out other effects."""
         self.core = core
@@ -56,7 +58,6 @@
         self.perform = perform
         self.links = links
         self.unsent: dict[str, list[WireMessage]] = {}
-        self.tick_interval_ms = tick_interval_ms
         self.next_tick_ms = 0
         self.exited = threading.Event()
         self.thread = threading.Thread(target=self.run, name="core", daemon=True)
@@ -81,15 +82,21 @@
             if taken is not None:
                 self.apply(*taken)
             self.flush()
+            self.hasten_tick()
 
     def tick_if_due(self) -> None:
         """Tick when the interval has passed."""
         now = now_ms()
         if now < self.next_tick_ms:
             return
-        self.next_tick_ms = now + self.tick_interval_ms
+        self.next_tick_ms = now + self.core.tick_interval_ms()
         self.guard("tick", lambda: self.core.tick(now))
 
+    def hasten_tick(self) -> None:
+        """Tick sooner when events have given the clock something to do."""
+        due_ms = now_ms() + self.core.tick_interval_ms()
+        self.next_tick_ms = min(self.next_tick_ms, due_ms)
+
     def apply(self, event: object, sender: str) -> None:
         """Apply one event."""
         name = type(event).__name__
--- a/src/sardineferry/decision/agent/core.py
+++ b/src/sardineferry/decision/agent/core.py
@@ -27,6 +27,8 @@
 __all__ = ["AgentCore"]
 
 PURGE_INTERVAL_MS = 5_000
+TICK_MS = 250
+LEAVING_TICK_MS = 50
 
 
 class AgentCore:
@@ -61,9 +63,9 @@
             state.effects.append(Exit("drained"))
         return self.take_effects()
 
-    def next_due_ms(self) -> int:
-        """Return when the clock next matters."""
-        return self.state.next_heartbeat_ms
+    def tick_interval_ms(self) -> int:
+        """Return how long the next tick may wait."""
+        return LEAVING_TICK_MS if self.state.leaving else TICK_MS
 
     def take_effects(self) -> list[Effect]:
         """Return and clear the collected effects."""
--- a/src/sardineferry/decision/entry/core.py
+++ b/src/sardineferry/decision/entry/core.py
@@ -39,6 +39,10 @@
 __all__ = ["EntryCore"]
 
 
+BUSY_TICK_MS = 20
+IDLE_TICK_MS = 200
+
+
 class EntryCore:
     """The entry's state and its rules."""
 
@@ -67,6 +71,12 @@
             self.state.effects.append(Exit("drained"))
         return self.take_effects()
 
+    def tick_interval_ms(self) -> int:
+        """Return how long the next tick may wait."""
+        state = self.state
+        busy = state.live_jobs or state.claim_batch or state.preset_changes
+        return BUSY_TICK_MS if busy or state.leaving else IDLE_TICK_MS
+
     def take_effects(self) -> list[Effect]:
         """Return and clear the collected effects."""
         effects = self.state.effects
--- a/src/sardineferry/entry/process.py
+++ b/src/sardineferry/entry/process.py
@@ -34,9 +34,8 @@
 
 __all__ = ["EntryProcess"]
 
-TICK_MS = 20
-CONFIG_POLL_MS = 250
-CLAIM_POLL_MS = 250
+CONFIG_POLL_MS = 500
+CLAIM_POLL_MS = 1_000
 DRAIN_LIMIT_S = 330.0
 STEP_S = 0.05
 
@@ -81,7 +80,7 @@
         self.dialers = [
             Dialer(address, mailbox, links, random) for address in settings.peers
         ]
-        self.loop = CoreLoop(core, mailbox, self.perform, links, TICK_MS)
+        self.loop = CoreLoop(core, mailbox, self.perform, links)
         self.metrics = MetricsReporter(
             settings.statsd, f"entry.{settings.name}", core.state.counters
         )
--- a/src/sardineferry/standin/target.py
+++ b/src/sardineferry/standin/target.py
@@ -3,7 +3,7 @@
 ``POST /faults`` sets any of ``fail`` (every task gets a server error),
 ``reject`` (every task is refused before its start), ``stall_ms`` (added to
 each run) and ``usage_factor`` (used processors per declared one).
-``GET /starts`` lists how often each task was started.
+``GET /starts`` lists how often each task was started, and each control used.
 """
 
 from __future__ import annotations
@@ -60,16 +60,13 @@
             case "GET", ("usage",):
                 return Response(200, self.usage())
             case "GET", ("starts",):
-                return Response(200, {"starts": self.starts, "max": self.busiest()})
+                counts = {"starts": self.starts, "controls": self.controls}
+                return Response(200, counts)
             case "POST", ("faults",):
                 self.faults.update(request.body)
                 return Response(200, self.faults)
         return Response(404, {"error": "no such path"})
 
-    def busiest(self) -> int:
-        """Return the highest number of starts of any one task."""
-        return max(self.starts.values(), default=0)
-
     def run(self, body: dict[str, Any]) -> Response:
         """Run a task, unless all slots are taken."""
         key = f"{body['submission']}/{body['id']}"
--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -189,3 +189,22 @@
     assert "$.name" in text
     assert "$.http_threads" in text
     assert "'listen' is a required property" in text
+
+
+def test_overcommitted_worker_is_relieved_in_order() -> None:
+    with Fleet(1, [TargetPlan(slots=4, kind="worker")]) as fleet:
+        call(fleet.targets[0], "POST", "/faults", {"usage_factor": 8.0})
+        job = make_job("big", 2, 4_000, holds=0)
+        _, answer, _ = submit(fleet.https[0], job)
+        _, body = call(fleet.targets[0], "GET", "/starts")
+    assert set(body["controls"]) >= {"throttle", "checkpoint", "stop"}
+    assert len(answer["tasks"]) == 2
+
+
+def test_worker_refuses_at_once_what_can_never_fit() -> None:
+    with Fleet(1, [TargetPlan(slots=4, kind="worker")]) as fleet:
+        job = make_job("huge", 1, 10, holds=0)
+        job["tasks"][0]["memory_mb"] = 4_001
+        status, answer, _ = submit(fleet.https[0], job)
+    assert (status, answer["state"]) == (422, "not_run")
+    assert "4001 MB" in answer["reason"]
