Stop a recovery when its job is forwarded; bound what callers name

Cause: after the change of routing the matrix found 8 of 7,744 pairs in which a job under recovery was forwarded to a later owner and then concluded as if it were still under recovery: the rule failed and the job was left to its deadline. Estimates by kind grew with every kind a caller named. Conclusion: run the whole matrix after each change of routing: its timing opens other cells.

--- a/bench/entry_core.py
+++ b/bench/entry_core.py
@@ -13,6 +13,7 @@
 from sardineferry.decision import events
 from sardineferry.decision.entry import EntryCore
 from sardineferry.decision.entry import EntryPolicy
+from sardineferry.decision.entry import EntryState
 from sardineferry.messages import wire
 from sardineferry.messages.job import Job
 from sardineferry.messages.job import Task
@@ -29,7 +30,7 @@
 def make_core(agents: int) -> EntryCore:
     """Return a core that knows so many idle agents."""
     policy = EntryPolicy({"team": 10**9}, queue_limit=10**6, answer_kept_ms=1_000)
-    core = EntryCore("e", "r", "a", "dc", policy, random.Random(1))
+    core = EntryCore(EntryState("e", "r", "a", "dc", policy, random.Random(1)))
     for index in range(agents):
         shape = TargetShape("minion", slots=SLOTS)
         announce = wire.Announce(f"agent-{index}", "r", "dc", shape, 0)
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -11,18 +11,28 @@
 import statistics
 from collections import Counter
 from functools import partial
+from typing import TYPE_CHECKING
 from typing import NamedTuple
+from unittest import mock
 
 import cyclopts
 
 from bench.virtual.laws import find_violations
 from bench.virtual.world import World
 from bench.virtual.world import WorldPlan
+from sardineferry.decision import health
 from sardineferry.decision.entry import EntryPolicy
+from sardineferry.decision.entry import results
+from sardineferry.decision.entry.results import KIND_WORKS
+from sardineferry.decision.health import TRIP_FAILURES
 from sardineferry.messages.job import Job
 from sardineferry.messages.job import Task
 from sardineferry.messages.target import TargetShape
 
+if TYPE_CHECKING:
+    from bench.virtual.nodes import Node
+    from sardineferry.messages.job import Attempt
+
 TARGETS = 6
 SLOTS = 8
 RUN_MS = 200.0
@@ -67,7 +77,7 @@
             number += 1
             run_ms = source.expovariate(1 / RUN_MS)
             idempotent = number % 4 != 0
-            task = Task("t", "quote" if idempotent else "hold", idempotent, f"{run_ms}")
+            task = Task("t", f"{team}-{idempotent}", idempotent, f"{run_ms}")
             job = Job(f"{team}-{number}", team, BUDGET_MS, (task,), resubmission=False)
             entry = world.entries[number % 3]
             world.schedule.after_ms(at_ms, partial(world.submit, entry, job))
@@ -150,13 +160,28 @@
         )
 
 
+def busiest(world: World) -> Node:
+    """Return the agent that runs the most, so that a fault there matters."""
+    agents = [world.nodes[name] for name in world.agents]
+    return max(agents, key=lambda node: len(in_flight_at(world, node.name)))
+
+
+def in_flight_at(world: World, agent: str) -> list[str]:
+    """Return the tasks that all entries have in flight at an agent."""
+    return [
+        key[1]
+        for entry in world.entries
+        for key in world.entry_state(entry).members[agent].in_flight
+    ]
+
+
 def bad_target(seed: int, fault: str) -> None:
     """Print what one bad target of six does to all requests."""
     world = make_world((("team", 10_000),), seed)
     end_ms = add_load(world, "team", [Phase(0.6, 15_000)], seed)
 
     def strike() -> None:
-        target = world.nodes["agent-0"].target
+        target = busiest(world).target
         target.failing = fault == "failing"
         target.down = fault == "down"
         target.stall_ms = 1_500 if fault == "stalling" else 0
@@ -174,6 +199,59 @@
     )
 
 
+def breakers(seed: int) -> None:
+    """Compare breakers on a failing target, and on a kind that fails."""
+    never = 10**9
+    for name, trip, works in (
+        ("no breaker", never, KIND_WORKS),
+        ("breaker, any cause", TRIP_FAILURES, -1.0),
+        ("breaker, kind works elsewhere", TRIP_FAILURES, KIND_WORKS),
+    ):
+        with (
+            mock.patch.object(health, "TRIP_FAILURES", trip),
+            mock.patch.object(results, "KIND_WORKS", works),
+        ):
+            target = count_failing_target(seed)
+            poison = count_poison(seed)
+        print(f"{name}: failing target {target}; poison kind {poison}")
+
+
+def count_failing_target(seed: int) -> str:
+    """Return what one failing target of six costs."""
+    world = make_world((("team", 10_000),), seed)
+    end_ms = add_load(world, "team", [Phase(0.8, 15_000)], seed)
+
+    def strike() -> None:
+        busiest(world).target.failing = True
+
+    world.schedule.after_ms(WARM_MS + 1_000, strike)
+    world.run_until_ms(end_ms + 10_000)
+    rows = outcomes(world)
+    lost = sum(row.state != "complete" for row in rows)
+    wasted = len(world.history.started) - len(rows)
+    return f"{lost} of {len(rows)} not complete, {wasted} repeated starts"
+
+
+def count_poison(seed: int) -> str:
+    """Return what tasks that fail everywhere do to the others."""
+    world = make_world((("good", 10_000), ("bad", 10_000)), seed)
+    end_ms = add_load(world, "good", [Phase(0.5, 15_000)], seed)
+    add_load(world, "bad", [Phase(0.2, 15_000)], seed + 1)
+    finish = world.finish
+
+    def finish_or_fail(node: Node, run: int, attempt: Attempt, took_ms: float) -> None:
+        node.target.failing = attempt.submission.startswith("bad")
+        finish(node, run, attempt, took_ms)
+        node.target.failing = False
+
+    with mock.patch.object(world, "finish", finish_or_fail):
+        world.run_until_ms(end_ms + 10_000)
+    good = [row for row in outcomes(world) if row.team == "good"]
+    lost = sum(row.state != "complete" for row in good)
+    cuts = statistics.quantiles([row.took_ms for row in good], n=100)
+    return f"{lost} of {len(good)} good not complete, p99 {cuts[98]:.0f} ms"
+
+
 def main(seed: int = 1) -> None:
     """Run all.
 
@@ -186,6 +264,7 @@
     flood(seed)
     for fault in ("healthy", "failing", "down", "stalling"):
         bad_target(seed, fault)
+    breakers(seed)
 
 
 if __name__ == "__main__":
--- a/bench/virtual/world.py
+++ b/bench/virtual/world.py
@@ -26,9 +26,11 @@
 from sardineferry.decision import events
 from sardineferry.decision.agent import AgentCore
 from sardineferry.decision.agent import AgentPolicy
+from sardineferry.decision.agent import AgentState
 from sardineferry.decision.claims import CLAIM_STREAM
 from sardineferry.decision.entry import EntryCore
 from sardineferry.decision.entry import EntryPolicy
+from sardineferry.decision.entry import EntryState
 from sardineferry.decision.preset import CONFIG_STREAM
 from sardineferry.messages import wire
 from sardineferry.messages.job import Task
@@ -105,12 +107,14 @@
         """Build an entry's core for one incarnation."""
         policy = self.plan.entry_policy or EntryPolicy(dict(self.plan.quotas))
         source = random.Random(f"{self.plan.seed}/{name}/{run}")
-        return EntryCore(name, f"run{run}", name, "dc", policy, source)
+        return EntryCore(EntryState(name, f"run{run}", name, "dc", policy, source))
 
     def agent_core(self, name: str, run: int) -> AgentCore:
         """Build an agent's core for one incarnation."""
         plan = self.plan
-        return AgentCore(name, f"run{run}", "dc", plan.shape, plan.agent_policy)
+        return AgentCore(
+            AgentState(name, f"run{run}", "dc", plan.shape, plan.agent_policy)
+        )
 
     def boot(self, name: str) -> None:
         """Start a node's ticks, log polls and links."""
@@ -124,6 +128,12 @@
             if entry != name:
                 self.schedule.after_ms(1.0, partial(self.dial, name, entry, run))
 
+    def entry_state(self, name: str) -> EntryState:
+        """Return the state of an entry."""
+        core = self.nodes[name].core
+        assert isinstance(core, EntryCore)
+        return core.state
+
     # The clock of nodes.
 
     def tick(self, node: Node, run: int) -> None:
--- a/src/sardineferry/decision/agent/core.py
+++ b/src/sardineferry/decision/agent/core.py
@@ -21,7 +21,6 @@
 from sardineferry.messages.job import Attempt
 
 if TYPE_CHECKING:
-    from sardineferry.decision.agent.state import AgentPolicy
     from sardineferry.messages.target import TargetShape
 
 __all__ = ["AgentCore"]
@@ -34,16 +33,9 @@
 class AgentCore:
     """The agent's state and its rules."""
 
-    def __init__(
-        self,
-        name: str,
-        incarnation: str,
-        data_centre: str,
-        shape: TargetShape,
-        policy: AgentPolicy,
-    ) -> None:
-        """Start with an idle target and no links."""
-        self.state = AgentState(name, incarnation, data_centre, shape, policy)
+    def __init__(self, state: AgentState) -> None:
+        """Drive this state."""
+        self.state = state
 
     def handle(self, event: object, sender: str, now_ms: int) -> list[Effect]:
         """Apply an event from a link (``sender``) or from the process."""
--- a/src/sardineferry/decision/agent/starts.py
+++ b/src/sardineferry/decision/agent/starts.py
@@ -197,7 +197,8 @@
     if row is None:
         return
     release(state, row)
-    row.state = "tombstone"
+    row.advance("deny")
+    row.task = None
     run_queue(state, now_ms)
     send_refusal(state, row.reply_to, row.attempt, reason, True)
 
--- a/src/sardineferry/decision/agent/usage.py
+++ b/src/sardineferry/decision/agent/usage.py
@@ -12,10 +12,11 @@
 from sardineferry.decision.effects import Effect
 from sardineferry.decision.effects import StopTask
 from sardineferry.decision.effects import ThrottleTask
-from sardineferry.decision.estimate import Estimate
+from sardineferry.decision.kinds import estimate_of
 
 if TYPE_CHECKING:
     from sardineferry.decision.agent.table import Row
+    from sardineferry.decision.estimate import Estimate
     from sardineferry.decision.events import UsageReported
     from sardineferry.messages.job import Attempt
     from sardineferry.messages.target import TargetShape
@@ -23,6 +24,7 @@
 __all__ = ["UsageModel"]
 
 CORRECTION_CAP = 16.0
+RATIO_WEIGHT = 0.1
 RELIEF_STEPS = (ThrottleTask, CheckpointTask, StopTask)
 
 
@@ -43,7 +45,7 @@
 
     def learn(self, kind: str, declared: int, used: float) -> None:
         """Include a measurement."""
-        ratio = self.ratios.setdefault(kind, Estimate(1.0))
+        ratio = estimate_of(self.ratios, kind, 1.0, RATIO_WEIGHT)
         ratio.add(used / max(1, declared))
 
     def relieve(
--- a/src/sardineferry/decision/entry/core.py
+++ b/src/sardineferry/decision/entry/core.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from functools import singledispatch
-from typing import TYPE_CHECKING
 
 from sardineferry.decision import events
 from sardineferry.decision.claims import CLAIM_STREAM
@@ -31,11 +30,6 @@
 from sardineferry.messages import wire
 from sardineferry.messages.job import JobAnswer
 
-if TYPE_CHECKING:
-    from random import Random
-
-    from sardineferry.decision.entry.policy import EntryPolicy
-
 __all__ = ["EntryCore"]
 
 
@@ -46,17 +40,9 @@
 class EntryCore:
     """The entry's state and its rules."""
 
-    def __init__(
-        self,
-        name: str,
-        incarnation: str,
-        address: str,
-        data_centre: str,
-        policy: EntryPolicy,
-        random: Random,
-    ) -> None:
-        """Start without members, peers or jobs."""
-        self.state = EntryState(name, incarnation, address, data_centre, policy, random)
+    def __init__(self, state: EntryState) -> None:
+        """Drive this state."""
+        self.state = state
 
     def handle(self, event: object, sender: str, now_ms: int) -> list[Effect]:
         """Apply an event from a link (``sender``) or from the process."""
--- a/src/sardineferry/decision/entry/ownership.py
+++ b/src/sardineferry/decision/entry/ownership.py
@@ -76,6 +76,7 @@
     """Pass a job to its owner, now or once a link to it is open."""
     entry.advance("forward")
     entry.claim_until_ms = 0
+    entry.recovery_until_ms = 0
     entry.asked = frozenset()
     entry.forwarded_at_ms = now_ms
     entry.forward_link = ""
--- a/src/sardineferry/decision/entry/results.py
+++ b/src/sardineferry/decision/entry/results.py
@@ -15,7 +15,7 @@
 from sardineferry.decision.entry.routing import learn_run
 from sardineferry.decision.entry.routing import pick
 from sardineferry.decision.entry.routing import send_task
-from sardineferry.decision.estimate import Estimate
+from sardineferry.decision.kinds import estimate_of
 from sardineferry.messages import wire
 
 if TYPE_CHECKING:
@@ -30,6 +30,7 @@
 FAULT_AGENTS = 2
 EJECTED_SHARE = 0.5
 KIND_WORKS = 0.2
+SUCCESS_WEIGHT = 0.1
 
 
 def receive_done(
@@ -87,7 +88,7 @@
 
 def note_kind(state: EntryState, task: TaskEntry, success: bool) -> None:
     """Learn which share of a kind of task succeeds anywhere."""
-    learned = state.kind_success.setdefault(task.task.kind, Estimate(0.0))
+    learned = estimate_of(state.kind_success, task.task.kind, 0.0, SUCCESS_WEIGHT)
     learned.add(1.0 if success else 0.0)
 
 
--- a/src/sardineferry/decision/entry/routing.py
+++ b/src/sardineferry/decision/entry/routing.py
@@ -13,7 +13,7 @@
 from sardineferry.decision.cost import task_units
 from sardineferry.decision.effects import Send
 from sardineferry.decision.entry.outcomes import give_up
-from sardineferry.decision.estimate import Estimate
+from sardineferry.decision.kinds import estimate_of
 from sardineferry.messages import wire
 from sardineferry.messages.job import Attempt
 
@@ -59,9 +59,8 @@
     expected = expected_ms(state, task)
     member.factor.add(min(20.0, run_ms / max(1.0, expected)))
     scale = max(1, task.run_ms)
-    learned = state.kind_ms.setdefault(
-        task.kind, Estimate(expected / scale, KIND_WEIGHT)
-    )
+    start = expected / scale
+    learned = estimate_of(state.kind_ms, task.kind, start, KIND_WEIGHT)
     learned.add(run_ms / scale)
 
 
--- a/src/sardineferry/decision/entry/timers.py
+++ b/src/sardineferry/decision/entry/timers.py
@@ -104,6 +104,11 @@
 
 def purge_jobs(state: EntryState, now_ms: int) -> None:
     """Forget answers kept long enough, and the oldest beyond the bound."""
+    state.forward_tokens = {
+        token: submission
+        for token, submission in state.forward_tokens.items()
+        if submission in state.live_jobs
+    }
     kept_ms = state.policy.answer_kept_ms
     surplus = len(state.jobs) - state.policy.job_limit
     for submission, entry in list(state.jobs.items()):
--- a/src/sardineferry/factory.py
+++ b/src/sardineferry/factory.py
@@ -9,8 +9,10 @@
 from sardineferry.agent import AgentProcess
 from sardineferry.decision.agent import AgentCore
 from sardineferry.decision.agent import AgentPolicy
+from sardineferry.decision.agent import AgentState
 from sardineferry.decision.entry import EntryCore
 from sardineferry.decision.entry import EntryPolicy
+from sardineferry.decision.entry import EntryState
 from sardineferry.entry import EntryProcess
 from sardineferry.logs import configure_logs
 from sardineferry.mailbox import Mailbox
@@ -40,7 +42,7 @@
         republish_ms=settings.republish_ms,
     )
     source = random.Random()
-    core = EntryCore(
+    state = EntryState(
         settings.name,
         new_incarnation(),
         settings.listen,
@@ -48,7 +50,7 @@
         policy,
         source,
     )
-    return EntryProcess(settings, core, Mailbox(), LinkRegistry(), source)
+    return EntryProcess(settings, EntryCore(state), Mailbox(), LinkRegistry(), source)
 
 
 def build_agent(settings: AgentSettings) -> AgentProcess:
@@ -58,11 +60,13 @@
         queue_units=settings.queue_units,
         table_limit=settings.table_limit,
     )
-    core = AgentCore(
+    state = AgentState(
         settings.name,
         new_incarnation(),
         settings.data_centre,
         settings.shape,
         policy,
     )
-    return AgentProcess(settings, core, Mailbox(), LinkRegistry(), random.Random())
+    return AgentProcess(
+        settings, AgentCore(state), Mailbox(), LinkRegistry(), random.Random()
+    )
--- a/tests/decision/agent/test_core.py
+++ b/tests/decision/agent/test_core.py
@@ -10,6 +10,7 @@
 from sardineferry.decision import events
 from sardineferry.decision.agent import AgentCore
 from sardineferry.decision.agent import AgentPolicy
+from sardineferry.decision.agent import AgentState
 from sardineferry.decision.agent.dump import dump_agent
 from sardineferry.decision.effects import CheckpointTask
 from sardineferry.decision.effects import Effect
@@ -34,7 +35,7 @@
     slots: int = 2, policy: AgentPolicy | None = None, entries: tuple[str, ...] = ("e",)
 ) -> AgentCore:
     shape = TargetShape("minion", slots=slots)
-    core = AgentCore("a", "run0", "dc", shape, policy or AgentPolicy())
+    core = AgentCore(AgentState("a", "run0", "dc", shape, policy or AgentPolicy()))
     for entry in entries:
         core.handle(events.LinkUp(entry), entry, 0)
         welcome = wire.Welcome(entry, "run0", (), "ordinary", 0)
@@ -176,7 +177,7 @@
 
 def worker_core() -> AgentCore:
     shape = TargetShape("worker", processors=4, memory_mb=4_000)
-    core = AgentCore("w", "run0", "dc", shape, AgentPolicy())
+    core = AgentCore(AgentState("w", "run0", "dc", shape, AgentPolicy()))
     core.handle(events.LinkUp("e"), "e", 0)
     core.handle(wire.Welcome("e", "run0", (), "ordinary", 0), "e", 0)
     return core
--- a/tests/decision/entry/test_core.py
+++ b/tests/decision/entry/test_core.py
@@ -16,6 +16,7 @@
 from sardineferry.decision.effects import Send
 from sardineferry.decision.entry import EntryCore
 from sardineferry.decision.entry import EntryPolicy
+from sardineferry.decision.entry import EntryState
 from sardineferry.decision.entry.dump import dump_entry
 from sardineferry.decision.entry.routing import team_limit
 from sardineferry.decision.preset import Preset
@@ -41,7 +42,9 @@
 
 def make_core(agents: int = 2, shape: TargetShape = MINION, **policy: Any) -> EntryCore:
     entry_policy = EntryPolicy(**{"team_quotas": QUOTAS, **policy})
-    core = EntryCore("e", "run0", "here", "dc", entry_policy, random.Random(1))
+    core = EntryCore(
+        EntryState("e", "run0", "here", "dc", entry_policy, random.Random(1))
+    )
     for index in range(agents):
         name = f"agent-{index}"
         core.handle(wire.Announce(name, "run0", "dc", shape, 0), name, 0)
--- a/tests/decision/test_fault_matrix.py
+++ b/tests/decision/test_fault_matrix.py
@@ -39,6 +39,26 @@
     assert violations == []
 
 
+FOUND = [
+    # A job under recovery was forwarded when a later epoch was read, and then
+    # concluded as if it were still under recovery.
+    (
+        Strike("cut_peers", "before_append", 3),
+        Strike("pause_agent_past_lease", "before_answer", 6),
+    ),
+    (
+        Strike("cut_peers", "before_append", 3),
+        Strike("pause_agent_past_lease", "after_append", 6),
+    ),
+]
+
+
+@pytest.mark.parametrize("strikes", FOUND)
+def test_failure_found_by_the_matrix_stays_mended(strikes: tuple[Strike, ...]) -> None:
+    _, violations = run_drill(strikes, seed=1)
+    assert violations == []
+
+
 STRIKES = strategies.lists(
     strategies.builds(
         Strike,
