Let entries and agents follow entries that are replaced

Cause: instances are replaced under new addresses, but entries dialled only the peers of their settings, agents kept dialling addresses that were gone until their list was full, and gone peers counted in quotas for ever. A job that was cancelled while its claim was under way ran all the same. Change: an entry dials back who greets it and names it to its agents; peers and learned addresses that are silent for a minute are dropped; admission and recovery look at cancellation. Measured: each was provoked by a test that failed before and passes now.

--- a/src/sardineferry/agent/process.py
+++ b/src/sardineferry/agent/process.py
@@ -67,7 +67,6 @@
         """Start every thread."""
         self.loop.start()
         for address in self.settings.entries:
-            self.core.state.known_addresses.add(address)
             self.dial(address)
         if self.settings.shape.kind == "worker":
             self.usage.start()
@@ -127,6 +126,13 @@
         """Open a link to an entry learned of."""
         self.dial(effect.address)
 
+    @perform.register
+    def disconnect(self, effect: effects.Disconnect) -> None:
+        """Dial an address no longer."""
+        dialer = self.dialers.pop(effect.address, None)
+        if dialer is not None:
+            dialer.stop()
+
     @perform.register
     def stop_task(self, effect: effects.StopTask) -> None:
         """Stop a task at the target."""
--- a/src/sardineferry/decision/agent/core.py
+++ b/src/sardineferry/decision/agent/core.py
@@ -12,6 +12,7 @@
 from sardineferry.decision.agent.state import EntryLink
 from sardineferry.decision.cost import task_units
 from sardineferry.decision.effects import Connect
+from sardineferry.decision.effects import Disconnect
 from sardineferry.decision.effects import Effect
 from sardineferry.decision.effects import Exit
 from sardineferry.decision.effects import Send
@@ -51,6 +52,7 @@
         if now_ms >= state.next_purge_ms:
             state.next_purge_ms = now_ms + PURGE_INTERVAL_MS
             state.table.purge(now_ms)
+            forget_entries(state, now_ms)
         if state.leaving and not state.running and not state.queue:
             state.effects.append(Exit("drained"))
         return self.take_effects()
@@ -72,6 +74,21 @@
     state.effects.extend(Send(name, beat) for name in state.links)
 
 
+def forget_entries(state: AgentState, now_ms: int) -> None:
+    """Stop dialling learned entries that have not answered for long.
+
+    Instances are replaced under new addresses; those of the settings stay.
+    """
+    for address in state.links:
+        if address in state.learned:
+            state.learned[address] = now_ms
+    for address, seen_ms in list(state.learned.items()):
+        if now_ms - seen_ms > state.policy.forget_ms:
+            del state.learned[address]
+            state.known_addresses.discard(address)
+            state.effects.append(Disconnect(address))
+
+
 @singledispatch
 def handle_event(event: object, state: AgentState, sender: str, now_ms: int) -> None:
     """Apply an event; unknown kinds are a programming error."""
@@ -118,6 +135,7 @@
         room = len(state.known_addresses) < state.policy.max_entries
         if address not in state.known_addresses and room:
             state.known_addresses.add(address)
+            state.learned[address] = now_ms
             state.effects.append(Connect(address))
 
 
--- a/src/sardineferry/decision/agent/state.py
+++ b/src/sardineferry/decision/agent/state.py
@@ -36,6 +36,7 @@
     horizon_ms: int = 600_000
     short_horizon_ms: int = 10_000
     max_entries: int = 6
+    forget_ms: int = 60_000
 
 
 class EntryLink:
@@ -79,6 +80,7 @@
         self.next_heartbeat_ms = 0
         self.next_purge_ms = 0
         self.known_addresses: set[str] = set()
+        self.learned: dict[str, int] = {}
         self.counters: Counter[str] = Counter()
         self.effects: list[Effect] = []
 
--- a/src/sardineferry/decision/effects.py
+++ b/src/sardineferry/decision/effects.py
@@ -14,6 +14,7 @@
     "Append",
     "CheckpointTask",
     "Connect",
+    "Disconnect",
     "DumpAnswer",
     "Effect",
     "Exit",
@@ -38,6 +39,12 @@
     address: str
 
 
+class Disconnect(NamedTuple):
+    """Dial an address no longer; nobody answered there for long."""
+
+    address: str
+
+
 class Answer(NamedTuple):
     """Answer the caller that waits under the token."""
 
@@ -110,6 +117,7 @@
     | Append
     | CheckpointTask
     | Connect
+    | Disconnect
     | DumpAnswer
     | Exit
     | PresetAnswer
--- a/src/sardineferry/decision/entry/admission.py
+++ b/src/sardineferry/decision/entry/admission.py
@@ -102,15 +102,17 @@
 
 def check(state: EntryState, entry: JobEntry, now_ms: int) -> None:
     """Raise the first reason to refuse a job."""
-    check_open(state)
+    check_open(state, entry)
     check_shapes(state, entry)
     check_room(state, entry)
     check_deadline(state, entry, now_ms)
 
 
-def check_open(state: EntryState) -> None:
-    """Refuse while leaving, under maintenance or without targets."""
+def check_open(state: EntryState, entry: JobEntry) -> None:
+    """Refuse when cancelled, while leaving, under maintenance or without targets."""
     pause_ms = state.policy.retry_after_ms
+    if entry.cancelled:
+        raise Refusal("cancelled", 0)
     if state.leaving:
         raise Refusal("this entry is leaving", pause_ms)
     if not state.policy_in_force().admits:
--- a/src/sardineferry/decision/entry/members.py
+++ b/src/sardineferry/decision/entry/members.py
@@ -8,18 +8,18 @@
 from sardineferry.decision.effects import Send
 from sardineferry.decision.entry import recovery
 from sardineferry.decision.entry import results
+from sardineferry.decision.entry.peers import welcome
 from sardineferry.decision.entry.routing import sort_members
 from sardineferry.decision.entry.routing import start_message
 from sardineferry.decision.entry.state import Member
-from sardineferry.messages import wire
 
 if TYPE_CHECKING:
     from sardineferry.decision.entry.state import EntryState
+    from sardineferry.messages import wire
 
 __all__ = ["announce", "disconnect", "hear", "leave", "scan"]
 
 FORGET_MS = 60_000
-NAMED_ENTRIES = 5
 DISTANCE_MS = 3.0
 MASS_SHARE = 0.5
 UNUSED_MS = 5_000
@@ -38,7 +38,7 @@
         member.distance_ms = DISTANCE_MS
     state.members[event.agent] = member
     sort_members(state)
-    welcome(state, member, event.preset_version)
+    welcome(state, member)
     if earlier is None:
         return
     member.factor = earlier.factor
@@ -50,23 +50,6 @@
     resume(state, member, earlier, now_ms)
 
 
-def welcome(state: EntryState, member: Member, preset_version: int) -> None:
-    """Tell an agent of the preset and of entries, its data centre's first."""
-    peers = sorted(
-        (peer for peer in state.peers.values() if peer.address),
-        key=lambda peer: (peer.data_centre != member.data_centre, peer.address),
-    )
-    addresses = [peer.address for peer in peers[:NAMED_ENTRIES]]
-    message = wire.Welcome(
-        state.name,
-        state.incarnation,
-        (state.address, *addresses),
-        state.preset.name,
-        state.preset.version,
-    )
-    state.effects.append(Send(member.name, message))
-
-
 def resume(state: EntryState, member: Member, earlier: Member, now_ms: int) -> None:
     """Repeat what is in flight; the start table answers what it knows."""
     for key, task in earlier.in_flight.items():
--- a/src/sardineferry/decision/entry/peers.py
+++ b/src/sardineferry/decision/entry/peers.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from sardineferry.decision.effects import Connect
+from sardineferry.decision.effects import Disconnect
 from sardineferry.decision.effects import Send
 from sardineferry.decision.entry import presets
 from sardineferry.decision.entry.state import Peer
@@ -12,8 +14,20 @@
 
 if TYPE_CHECKING:
     from sardineferry.decision.entry.state import EntryState
+    from sardineferry.decision.entry.state import Member
 
-__all__ = ["greet", "hello", "peer_down", "send_digests", "take_digest"]
+__all__ = [
+    "forget",
+    "greet",
+    "hello",
+    "peer_down",
+    "send_digests",
+    "take_digest",
+    "welcome",
+]
+
+NAMED_ENTRIES = 5
+FORGET_MS = 60_000
 
 
 def hello(state: EntryState) -> wire.PeerHello:
@@ -34,6 +48,7 @@
     """Learn of a peer; a greeting on a link dialled here makes it usable."""
     if event.entry == state.name:
         return
+    is_new = event.entry not in state.peers
     peer = state.peers.setdefault(event.entry, Peer(event.entry, now_ms))
     peer.incarnation = event.incarnation
     peer.address = event.address
@@ -41,10 +56,50 @@
     peer.last_heard_ms = now_ms
     peer.leaving = False
     presets.adopt(state, Preset(event.preset_version, event.preset_name), now_ms)
+    if is_new:
+        tell_agents(state)
     if dialled:
         peer.link = sender
         return
     state.effects.append(Send(sender, hello(state)))
+    if not peer.link:
+        state.effects.append(Connect(peer.address))
+
+
+def tell_agents(state: EntryState) -> None:
+    """Name a new entry to the agents linked here."""
+    for member in state.members.values():
+        if member.linked and member.state != "lost":
+            welcome(state, member)
+
+
+def welcome(state: EntryState, member: Member) -> None:
+    """Tell an agent of the preset and of entries, its data centre's first."""
+    peers = sorted(
+        (peer for peer in state.peers.values() if peer.address),
+        key=lambda peer: (peer.data_centre != member.data_centre, peer.address),
+    )
+    addresses = [peer.address for peer in peers[:NAMED_ENTRIES]]
+    message = wire.Welcome(
+        state.name,
+        state.incarnation,
+        (state.address, *addresses),
+        state.preset.name,
+        state.preset.version,
+    )
+    state.effects.append(Send(member.name, message))
+
+
+def forget(state: EntryState, now_ms: int) -> None:
+    """Remove peers that were silent for long; their instances are gone."""
+    gone = [
+        peer
+        for peer in state.peers.values()
+        if not peer.link and now_ms - peer.last_heard_ms > FORGET_MS
+    ]
+    for peer in gone:
+        del state.peers[peer.name]
+        state.effects.append(Disconnect(peer.address))
 
 
 def peer_down(state: EntryState, link: str) -> None:
--- a/src/sardineferry/decision/entry/recovery.py
+++ b/src/sardineferry/decision/entry/recovery.py
@@ -83,7 +83,7 @@
         adopt(state, task, running)
         return
     if task.task.idempotent:
-        state.queue.push(task, now_ms)
+        start_or_cancel(state, task, now_ms)
         return
     if finished:
         result = finished[0].result
@@ -93,12 +93,20 @@
         end_task(state, task, event, result.reason, now_ms)
         return
     if proven:
-        state.queue.push(task, now_ms)
+        start_or_cancel(state, task, now_ms)
         return
     reason = "the owner was lost and not every agent could be asked"
     end_task(state, task, "lose", reason, now_ms)
 
 
+def start_or_cancel(state: EntryState, task: TaskEntry, now_ms: int) -> None:
+    """Queue a task that is to be started, unless its job was cancelled."""
+    if task.job.cancelled:
+        end_task(state, task, "cancel", "cancelled", now_ms)
+        return
+    state.queue.push(task, now_ms)
+
+
 def adopt(
     state: EntryState,
     task: TaskEntry,
--- a/src/sardineferry/decision/entry/timers.py
+++ b/src/sardineferry/decision/entry/timers.py
@@ -98,6 +98,7 @@
     if now_ms >= state.next_digest_ms:
         state.next_digest_ms = now_ms + state.policy.digest_ms
         peers.send_digests(state)
+        peers.forget(state, now_ms)
         state.claims.purge(now_ms)
         purge_jobs(state, now_ms)
 
--- a/src/sardineferry/entry/process.py
+++ b/src/sardineferry/entry/process.py
@@ -77,9 +77,7 @@
             ),
             CLAIM_STREAM: LogTail(CLAIM_STREAM, settings.log, mailbox, CLAIM_POLL_MS),
         }
-        self.dialers = [
-            Dialer(address, mailbox, links, random) for address in settings.peers
-        ]
+        self.dialers: dict[str, Dialer] = {}
         self.loop = CoreLoop(core, mailbox, self.perform, links)
         self.metrics = MetricsReporter(
             settings.statsd, f"entry.{settings.name}", core.state.counters
@@ -93,8 +91,8 @@
             tail.start()
         self.listener.start()
         self.http.start()
-        for dialer in self.dialers:
-            dialer.start()
+        for address in self.settings.peers:
+            self.dial(address)
         self.metrics.start()
         logger.info(
             "Entry {} serves callers on port {} and links on port {}.",
@@ -103,6 +101,14 @@
             self.listener.port,
         )
 
+    def dial(self, address: str) -> None:
+        """Open a link to another entry and keep it open."""
+        if address in self.dialers:
+            return
+        dialer = Dialer(address, self.mailbox, self.links, self.random)
+        self.dialers[address] = dialer
+        dialer.start()
+
     def run(self) -> None:
         """Serve until a signal asks to drain, then finish and leave."""
         self.signals.install()
@@ -155,6 +161,20 @@
         """Answer a waiting HTTP request."""
         self.application.answer(effect)
 
+    @perform.register
+    def connect(self, effect: effects.Connect) -> None:
+        """Open a link to an entry learned of."""
+        self.dial(effect.address)
+
+    @perform.register
+    def disconnect(self, effect: effects.Disconnect) -> None:
+        """Dial an address no longer, unless the settings name it."""
+        if effect.address in self.settings.peers:
+            return
+        dialer = self.dialers.pop(effect.address, None)
+        if dialer is not None:
+            dialer.stop()
+
     @perform.register
     def append(self, effect: effects.Append) -> None:
         """Hand a record to the thread of its stream."""
--- a/src/sardineferry/factory.py
+++ b/src/sardineferry/factory.py
@@ -67,6 +67,7 @@
         settings.shape,
         policy,
     )
+    state.known_addresses.update(settings.entries)
     return AgentProcess(
         settings, AgentCore(state), Mailbox(), LinkRegistry(), random.Random()
     )
--- a/tests/decision/agent/test_core.py
+++ b/tests/decision/agent/test_core.py
@@ -13,6 +13,8 @@
 from sardineferry.decision.agent import AgentState
 from sardineferry.decision.agent.dump import dump_agent
 from sardineferry.decision.effects import CheckpointTask
+from sardineferry.decision.effects import Connect
+from sardineferry.decision.effects import Disconnect
 from sardineferry.decision.effects import Effect
 from sardineferry.decision.effects import Exit
 from sardineferry.decision.effects import RunTask
@@ -240,3 +242,13 @@
     core.handle(start("a"), "e", 0)
     core.handle(start("b"), "e", 0)
     assert dump_agent(core.state) == snapshot
+
+
+def test_learned_entry_that_never_answers_makes_room_for_others() -> None:
+    core = make_core(policy=AgentPolicy(max_entries=1))
+    first = wire.Welcome("e", "run0", ("gone",), "ordinary", 0)
+    assert Connect("gone") in core.handle(first, "e", 0)
+    second = wire.Welcome("e", "run0", ("new",), "ordinary", 0)
+    assert core.handle(second, "e", 1) == []
+    assert Disconnect("gone") in core.tick(61_000)
+    assert Connect("new") in core.handle(second, "e", 61_001)
--- a/tests/decision/entry/test_core.py
+++ b/tests/decision/entry/test_core.py
@@ -11,6 +11,8 @@
 from sardineferry.decision import events
 from sardineferry.decision.effects import Answer
 from sardineferry.decision.effects import Append
+from sardineferry.decision.effects import Connect
+from sardineferry.decision.effects import Disconnect
 from sardineferry.decision.effects import Effect
 from sardineferry.decision.effects import Exit
 from sardineferry.decision.effects import Send
@@ -348,3 +350,33 @@
     hello = wire.PeerHello("f", "run0", "there", "dc", "ordinary", 0)
     core.handle(hello, "there", 0)
     assert dump_entry(core.state) == snapshot
+
+
+def test_job_cancelled_before_its_claim_is_read_starts_nothing() -> None:
+    core = make_core()
+    (append,) = (item for item in submit(core, hold()) if isinstance(item, Append))
+    core.handle(events.CancelJob(9, "s"), "", 1)
+    effects = read_back(core, append, 10)
+    assert not started(effects)
+    assert {item.answer.state for item in answers(effects)} == {"not_run"}
+
+
+def test_new_entry_is_dialled_and_named_to_agents() -> None:
+    core = make_core(agents=1)
+    hello = wire.PeerHello("f", "run0", "there", "dc", "ordinary", 0)
+    effects = core.handle(hello, "entry/f", 0)
+    assert Connect("there") in effects
+    (welcome,) = (
+        item.message
+        for item in effects
+        if isinstance(item, Send) and isinstance(item.message, wire.Welcome)
+    )
+    assert welcome.addresses == ("here", "there")
+
+
+def test_entry_that_is_gone_for_long_is_forgotten() -> None:
+    core = make_core()
+    hello = wire.PeerHello("f", "run0", "there", "dc", "ordinary", 0)
+    core.handle(hello, "entry/f", 0)
+    assert Disconnect("there") in core.tick(61_000)
+    assert core.state.peers == {}
