Split the entry's rules by who speaks to it

Change: five modules register their rules with one dispatcher; found rows name their agent instead of holding it.

--- /dev/null
+++ b/src/sardineferry/decision/entry/agent_rules.py
@@ -0,0 +1,90 @@
+"""Rules for messages of agents."""
+
+from __future__ import annotations
+
+from sardineferry.decision.effects import Send
+from sardineferry.decision.entry import members
+from sardineferry.decision.entry import recovery
+from sardineferry.decision.entry import results
+from sardineferry.decision.entry.routing import dispatch
+from sardineferry.decision.entry.rules import handle_event
+from sardineferry.decision.entry.state import EntryState
+from sardineferry.messages import wire
+
+__all__ = [
+    "on_announce",
+    "on_done",
+    "on_heartbeat",
+    "on_leaving",
+    "on_refused",
+    "on_report",
+]
+
+
+@handle_event.register
+def on_announce(
+    event: wire.Announce, state: EntryState, sender: str, now_ms: int
+) -> None:
+    """Welcome an agent."""
+    members.announce(state, event, now_ms)
+    dispatch(state, now_ms)
+
+
+@handle_event.register
+def on_heartbeat(
+    event: wire.Heartbeat, state: EntryState, sender: str, now_ms: int
+) -> None:
+    """Renew the agent's lease."""
+    member = state.members.get(sender)
+    if member is None:
+        return
+    members.hear(state, member, now_ms)
+    state.members[sender].note_load(event.load, now_ms)
+    state.effects.append(Send(sender, wire.LeaseEcho(event.sent_at_ms)))
+
+
+@handle_event.register
+def on_done(event: wire.Done, state: EntryState, sender: str, now_ms: int) -> None:
+    """Take the result of an attempt."""
+    member = state.members.get(sender)
+    if member is None:
+        return
+    member.last_heard_ms = now_ms
+    results.receive_done(state, member, event, now_ms)
+
+
+@handle_event.register
+def on_refused(
+    event: wire.Refused, state: EntryState, sender: str, now_ms: int
+) -> None:
+    """Route a task elsewhere."""
+    member = state.members.get(sender)
+    if member is None:
+        return
+    member.last_heard_ms = now_ms
+    results.receive_refusal(state, member, event, now_ms)
+
+
+@handle_event.register
+def on_leaving(
+    event: wire.Leaving, state: EntryState, sender: str, now_ms: int
+) -> None:
+    """Send nothing more to an agent."""
+    member = state.members.get(sender)
+    if member is not None:
+        members.leave(state, member)
+
+
+@handle_event.register
+def on_report(event: wire.Report, state: EntryState, sender: str, now_ms: int) -> None:
+    """Collect an agent's rows for a job under recovery."""
+    member = state.members.get(sender)
+    entry = state.live_jobs.get(event.submission)
+    if member is None or entry is None or not entry.recovery_until_ms:
+        return
+    if event.epoch != entry.epoch:
+        return
+    recovery.note_report(entry, member, event)
+    if recovery.is_complete(entry):
+        recovery.conclude(state, entry, now_ms)
+        dispatch(state, now_ms)
--- a/src/sardineferry/decision/entry/jobs.py
+++ b/src/sardineferry/decision/entry/jobs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 import msgspec
 import xxhash
@@ -10,16 +11,22 @@
 from sardineferry.charts import load_chart
 from sardineferry.messages.job import JobAnswer
 from sardineferry.messages.job import TaskOutcome
+from sardineferry.messages.wire import ReportedTask
 
 if TYPE_CHECKING:
-    from sardineferry.decision.entry.state import Member
     from sardineferry.messages.job import Job
     from sardineferry.messages.job import JobState
     from sardineferry.messages.job import OutcomeState
     from sardineferry.messages.job import Task
-    from sardineferry.messages.wire import ReportedTask
 
-__all__ = ["JobEntry", "TaskEntry", "Waiter", "fingerprint_of", "whole_answer"]
+__all__ = [
+    "FoundRow",
+    "JobEntry",
+    "TaskEntry",
+    "Waiter",
+    "fingerprint_of",
+    "whole_answer",
+]
 
 
 def fingerprint_of(job: Job) -> str:
@@ -41,6 +48,13 @@
         self.link = link
 
 
+class FoundRow(NamedTuple):
+    """A row of an agent's start table, as reported for a recovery."""
+
+    agent: str
+    row: ReportedTask
+
+
 class TaskEntry:
     """One task: its state, and the attempts in flight by agent name.
 
@@ -142,7 +156,7 @@
         self.finished_at_ms = 0
         self.forwarded_at_ms = 0
         self.forward_link = ""
-        self.found: dict[str, list[tuple[Member, ReportedTask]]] = {}
+        self.found: dict[str, list[FoundRow]] = {}
         self.epoch = 0
         self.roster: frozenset[str] | None = None
         self.asked: frozenset[str] = frozenset()
--- /dev/null
+++ b/src/sardineferry/decision/entry/log_rules.py
@@ -0,0 +1,47 @@
+"""Rules for what the log tells."""
+
+from __future__ import annotations
+
+from sardineferry.decision import events
+from sardineferry.decision.claims import CLAIM_STREAM
+from sardineferry.decision.entry import admission
+from sardineferry.decision.entry import claiming
+from sardineferry.decision.entry import ownership
+from sardineferry.decision.entry import presets
+from sardineferry.decision.entry.rules import handle_event
+from sardineferry.decision.entry.state import EntryState
+from sardineferry.decision.preset import CONFIG_STREAM
+
+__all__ = ["on_append_failed", "on_log_records"]
+
+
+@handle_event.register
+def on_log_records(
+    event: events.LogRecords, state: EntryState, sender: str, now_ms: int
+) -> None:
+    """Apply records in order of offset."""
+    for record in event.records:
+        if event.stream == CONFIG_STREAM:
+            presets.fold(state, record, event.first_offset, now_ms)
+        if event.stream == CLAIM_STREAM:
+            fold_claims(state, record, now_ms)
+
+
+def fold_claims(state: EntryState, record: events.LogRecord, now_ms: int) -> None:
+    """Apply a record of claims and decide the jobs that it names."""
+    claiming.settle_batch(state, record.record_id)
+    for submission in state.claims.fold(record, now_ms):
+        entry = state.live_jobs.get(submission)
+        if entry is not None and ownership.resolve(state, entry, now_ms):
+            admission.admit(state, entry, now_ms)
+
+
+@handle_event.register
+def on_append_failed(
+    event: events.AppendFailed, state: EntryState, sender: str, now_ms: int
+) -> None:
+    """Repeat an append whose outcome is not known."""
+    if event.stream == CLAIM_STREAM:
+        claiming.append_failed(state, event.record_id, now_ms)
+    else:
+        presets.append_failed(state, event.record_id, now_ms)
--- /dev/null
+++ b/src/sardineferry/decision/entry/operator_rules.py
@@ -0,0 +1,76 @@
+"""Rules for what operators ask."""
+
+from __future__ import annotations
+
+from sardineferry.decision import events
+from sardineferry.decision.effects import DumpAnswer
+from sardineferry.decision.effects import Send
+from sardineferry.decision.entry import presets
+from sardineferry.decision.entry.rules import handle_event
+from sardineferry.decision.entry.state import EntryState
+from sardineferry.messages import wire
+
+__all__ = [
+    "on_drain",
+    "on_drain_agent",
+    "on_dump_agent",
+    "on_dump_reply",
+    "on_set_preset",
+]
+
+
+@handle_event.register
+def on_set_preset(
+    event: events.SetPreset, state: EntryState, sender: str, now_ms: int
+) -> None:
+    """Change the preset for an operator."""
+    presets.change(state, event, now_ms)
+
+
+@handle_event.register
+def on_drain(event: events.Drain, state: EntryState, sender: str, now_ms: int) -> None:
+    """Take no more submissions; what is in flight is finished."""
+    state.leaving = True
+    notice = wire.EntryLeaving(state.name)
+    state.effects.extend(
+        Send(member.name, notice) for member in state.members.values() if member.linked
+    )
+    state.effects.extend(
+        Send(peer.link, notice) for peer in state.peers.values() if peer.link
+    )
+
+
+@handle_event.register
+def on_dump_agent(
+    event: events.DumpAgent, state: EntryState, sender: str, now_ms: int
+) -> None:
+    """Ask an agent for its state."""
+    member = state.members.get(event.agent)
+    if member is None or not member.linked:
+        state.effects.append(DumpAnswer(event.token, ""))
+        return
+    state.dumps.add(event.token)
+    state.effects.append(Send(event.agent, wire.DumpRequest(event.token)))
+
+
+@handle_event.register
+def on_dump_reply(
+    event: wire.DumpReply, state: EntryState, sender: str, now_ms: int
+) -> None:
+    """Pass an agent's state to the operator."""
+    if event.token in state.dumps:
+        state.dumps.discard(event.token)
+        state.effects.append(DumpAnswer(event.token, event.text))
+
+
+@handle_event.register
+def on_drain_agent(
+    event: events.DrainAgent, state: EntryState, sender: str, now_ms: int
+) -> None:
+    """Ask an agent to drain and leave."""
+    member = state.members.get(event.agent)
+    if member is None or not member.linked:
+        state.effects.append(DumpAnswer(event.token, ""))
+        return
+    state.effects.append(Send(event.agent, wire.DrainRequest("operator")))
+    state.effects.append(DumpAnswer(event.token, '{"drained":true}'))
--- /dev/null
+++ b/src/sardineferry/decision/entry/peer_rules.py
@@ -0,0 +1,100 @@
+"""Rules for links and for messages of other entries."""
+
+from __future__ import annotations
+
+from sardineferry.decision import events
+from sardineferry.decision.effects import Send
+from sardineferry.decision.entry import admission
+from sardineferry.decision.entry import members
+from sardineferry.decision.entry import ownership
+from sardineferry.decision.entry import peers
+from sardineferry.decision.entry import presets
+from sardineferry.decision.entry import timers
+from sardineferry.decision.entry.jobs import Waiter
+from sardineferry.decision.entry.rules import handle_event
+from sardineferry.decision.entry.state import EntryState
+from sardineferry.decision.preset import Preset
+from sardineferry.messages import wire
+
+__all__ = [
+    "on_entry_leaving",
+    "on_forward",
+    "on_forwarded",
+    "on_link_down",
+    "on_link_up",
+    "on_peer_digest",
+    "on_peer_hello",
+    "on_preset_notice",
+]
+
+
+@handle_event.register
+def on_link_up(
+    event: events.LinkUp, state: EntryState, sender: str, now_ms: int
+) -> None:
+    """Greet the entry at the far end of a dialled link."""
+    state.dialled.add(event.name)
+    state.effects.append(Send(event.name, peers.hello(state)))
+
+
+@handle_event.register
+def on_link_down(
+    event: events.LinkDown, state: EntryState, sender: str, now_ms: int
+) -> None:
+    """Note the loss of an agent's or a peer's link."""
+    state.dialled.discard(event.name)
+    member = state.members.get(event.name)
+    if member is not None:
+        members.disconnect(state, member)
+    peers.peer_down(state, event.name)
+
+
+@handle_event.register
+def on_peer_hello(
+    event: wire.PeerHello, state: EntryState, sender: str, now_ms: int
+) -> None:
+    """Learn of a peer and pass on what waits for it."""
+    peers.greet(state, event, sender, sender in state.dialled, now_ms)
+    timers.check_forwards(state, now_ms)
+
+
+@handle_event.register
+def on_peer_digest(
+    event: wire.PeerDigest, state: EntryState, sender: str, now_ms: int
+) -> None:
+    """Keep what a peer told."""
+    peers.take_digest(state, event, now_ms)
+
+
+@handle_event.register
+def on_entry_leaving(
+    event: wire.EntryLeaving, state: EntryState, sender: str, now_ms: int
+) -> None:
+    """Note that a peer takes no more submissions."""
+    peer = state.peers.get(event.entry)
+    if peer is not None:
+        peer.leaving = True
+
+
+@handle_event.register
+def on_preset_notice(
+    event: wire.PresetNotice, state: EntryState, sender: str, now_ms: int
+) -> None:
+    """Adopt a preset that a peer tells."""
+    presets.adopt(state, Preset(event.version, event.name), now_ms)
+
+
+@handle_event.register
+def on_forward(
+    event: wire.Forward, state: EntryState, sender: str, now_ms: int
+) -> None:
+    """Take a job that a peer forwarded."""
+    admission.submit(state, event.job, Waiter(event.token, sender), now_ms)
+
+
+@handle_event.register
+def on_forwarded(
+    event: wire.Forwarded, state: EntryState, sender: str, now_ms: int
+) -> None:
+    """Pass on the owner's answer."""
+    ownership.receive_answer(state, event, now_ms)
--- a/src/sardineferry/decision/entry/recovery.py
+++ b/src/sardineferry/decision/entry/recovery.py
@@ -10,6 +10,7 @@
 
 from sardineferry.decision.cost import task_units
 from sardineferry.decision.effects import Send
+from sardineferry.decision.entry.jobs import FoundRow
 from sardineferry.decision.entry.outcomes import end_task
 from sardineferry.decision.entry.outcomes import unplace
 from sardineferry.messages import wire
@@ -46,7 +47,7 @@
     """Keep an agent's rows until all have answered."""
     entry.reported.add(member.identity())
     for row in report.tasks:
-        entry.found.setdefault(row.task, []).append((member, row))
+        entry.found.setdefault(row.task, []).append(FoundRow(member.name, row))
 
 
 def is_complete(entry: JobEntry) -> bool:
@@ -78,7 +79,7 @@
         task.answer = answered[0].answer
         end_task(state, task, "answer", "", now_ms)
         return
-    running = [(member, row) for member, row in rows if row.result is None]
+    running = [found for found in rows if found.row.result is None]
     if running:
         adopt(state, task, running)
         return
@@ -107,16 +108,15 @@
     state.queue.push(task, now_ms)
 
 
-def adopt(
-    state: EntryState,
-    task: TaskEntry,
-    running: list[tuple[Member, wire.ReportedTask]],
-) -> None:
+def adopt(state: EntryState, task: TaskEntry, running: list[FoundRow]) -> None:
     """Wait for attempts that the former owner started."""
     task.advance("send")
     task.started = True
-    for member, row in running:
-        task.placed[member.name] = row.number
+    for agent, row in running:
+        member = state.members.get(agent)
+        if member is None:
+            continue
+        task.placed[agent] = row.number
         key = (task.job.job.submission, task.task.id)
         member.in_flight[key] = task
         member.own += task_units(task.task, member.shape)
