Keep threads for health checks when many callers wait

Cause: each waiting caller holds an HTTP thread; with all 64 taken /ready did not answer, so the balancer would have taken every busy entry out at once. Change: at most http_threads - 8 requests wait; a further one is refused at the edge at once, as not run, or unknown where an earlier submission of a booking may have run. The default is 128 threads. Measured: test with no free slot: 503 or 504 with Retry-After, /ready 200, and nothing reaches the core.

--- a/src/sardineferry/entry/application.py
+++ b/src/sardineferry/entry/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 import uuid
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import TYPE_CHECKING
@@ -19,6 +20,7 @@
 from sardineferry.decision.effects import PresetAnswer
 from sardineferry.entry import requests
 from sardineferry.entry.waiting import WaitingRequests
+from sardineferry.messages.job import JobAnswer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,13 +30,15 @@
     from _typeshed.wsgi import WSGIEnvironment
 
     from sardineferry.mailbox import Mailbox
-    from sardineferry.messages.job import JobAnswer
+    from sardineferry.messages.job import Job
+    from sardineferry.messages.job import JobState
 
 __all__ = ["EntryApplication"]
 
 WAIT_GRACE_S = 5.0
 OPERATOR_TIMEOUT_S = 8.0
 POLL_LIMIT_MS = 300_000
+EDGE_RETRY_AFTER_MS = 1_000
 
 STATUS_LINES = {
     200: "200 OK",
@@ -61,13 +65,22 @@
     """A WSGI application that talks to the core by messages."""
 
     def __init__(
-        self, mailbox: Mailbox, teams: dict[str, int], dump: Callable[[], str]
+        self,
+        mailbox: Mailbox,
+        teams: dict[str, int],
+        dump: Callable[[], str],
+        waiting_limit: int,
     ) -> None:
-        """Name the core's mailbox, the teams and what gives the state."""
+        """Name the core's mailbox, the teams and what gives the state.
+
+        At most ``waiting_limit`` requests wait for jobs, so that threads are
+        left for health checks and operators.
+        """
         self.mailbox = mailbox
         self.teams = teams
         self.dump = dump
         self.leaving = False
+        self.waiting_slots = threading.BoundedSemaphore(waiting_limit)
         self.preset: Callable[[], tuple[int, str]] = lambda: (0, "ordinary")
         self.jobs: WaitingRequests[JobAnswer] = WaitingRequests()
         self.changes: WaitingRequests[PresetAnswer] = WaitingRequests()
@@ -140,25 +153,41 @@
         if not is_successful(parsed):
             return HttpReply(400, error_body("bad_request", str(parsed.failure())))
         job, wait = parsed.unwrap()
-        token, future = self.jobs.open()
-        self.mailbox.put(events.Submit(token, job))
         if not wait:
+            token, _ = self.jobs.open()
+            self.mailbox.put(events.Submit(token, job))
             return HttpReply(202, {"submission": job.submission, "state": "pending"})
-        return self.await_job(token, future, job.budget_ms / 1_000 + WAIT_GRACE_S)
+        if not self.waiting_slots.acquire(blocking=False):
+            return job_reply(refuse_at_edge(job))
+        try:
+            token, future = self.jobs.open()
+            self.mailbox.put(events.Submit(token, job))
+            return self.await_job(token, future, job.budget_ms / 1_000 + WAIT_GRACE_S)
+        finally:
+            self.waiting_slots.release()
 
     def poll(self, submission: str, wait_ms: int) -> HttpReply:
         """Return a job's answer, now or at its end."""
-        token, future = self.jobs.open()
-        self.mailbox.put(events.PollJob(token, submission, wait_ms > 0))
-        if wait_ms:
-            return self.await_job(token, future, wait_ms / 1_000)
-        return self.await_job(token, future, OPERATOR_TIMEOUT_S)
+        waits = wait_ms > 0 and self.waiting_slots.acquire(blocking=False)
+        try:
+            token, future = self.jobs.open()
+            self.mailbox.put(events.PollJob(token, submission, waits))
+            timeout_s = wait_ms / 1_000 if waits else OPERATOR_TIMEOUT_S
+            return self.await_job(token, future, timeout_s)
+        finally:
+            if waits:
+                self.waiting_slots.release()
 
     def cancel(self, submission: str) -> HttpReply:
-        """Cancel a job and return its whole answer."""
+        """Cancel a job and return its whole answer, or that it is pending."""
         token, future = self.jobs.open()
         self.mailbox.put(events.CancelJob(token, submission))
-        return self.await_job(token, future, POLL_LIMIT_MS / 1_000)
+        if not self.waiting_slots.acquire(blocking=False):
+            return HttpReply(202, {"submission": submission, "state": "pending"})
+        try:
+            return self.await_job(token, future, OPERATOR_TIMEOUT_S)
+        finally:
+            self.waiting_slots.release()
 
     def await_job(self, token: int, future: Any, timeout_s: float) -> HttpReply:
         """Wait for the core's answer to a job."""
@@ -213,6 +242,18 @@
         return HttpReply(200, msgspec.Raw(text.encode()))
 
 
+def refuse_at_edge(job: Job) -> JobAnswer:
+    """Refuse a job that the core never saw, as truthfully as can be.
+
+    Nothing was started for this request; an earlier one with the key may
+    have run elsewhere unless its caller rules that out.
+    """
+    books = any(not task.idempotent for task in job.tasks)
+    state: JobState = "unknown" if job.resubmission and books else "not_run"
+    reason = "too many requests wait at this entry"
+    return JobAnswer(job.submission, state, reason, EDGE_RETRY_AFTER_MS, ())
+
+
 def read_body(environ: WSGIEnvironment) -> bytes:
     """Read the whole request body; waitress has bounded its size."""
     body: bytes = environ["wsgi.input"].read()
--- a/src/sardineferry/entry/process.py
+++ b/src/sardineferry/entry/process.py
@@ -37,6 +37,8 @@
 CONFIG_POLL_MS = 500
 CLAIM_POLL_MS = 1_000
 DRAIN_LIMIT_S = 330.0
+# Threads that never wait for jobs: for health checks and operators.
+SPARE_THREADS = 8
 STEP_S = 0.05
 
 logger = part_logger("entry")
@@ -65,7 +67,12 @@
         self.mailbox = mailbox
         self.links = links
         self.random = random
-        self.application = EntryApplication(mailbox, settings.teams, self.dump)
+        self.application = EntryApplication(
+            mailbox,
+            settings.teams,
+            self.dump,
+            max(1, settings.http_threads - SPARE_THREADS),
+        )
         self.application.preset = self.preset
         self.listener = Listener(settings.listen, mailbox, links)
         self.http = HttpServer(
--- a/src/sardineferry/settings/entry.py
+++ b/src/sardineferry/settings/entry.py
@@ -21,7 +21,7 @@
     log: str
     teams: dict[str, int]
     peers: tuple[str, ...] = ()
-    http_threads: int = 64
+    http_threads: int = 128
     queue_limit: int = 20_000
     claim_interval_ms: int = 10
     full_ms: int = 20
--- a/tests/entry/test_application.py
+++ b/tests/entry/test_application.py
@@ -30,9 +30,16 @@
 class FakeCore:
     """Answers every event of an application with one effect."""
 
-    def __init__(self, answer: JobAnswer | None, outcome: str = "accepted") -> None:
+    def __init__(
+        self,
+        answer: JobAnswer | None,
+        outcome: str = "accepted",
+        waiting_limit: int = 4,
+    ) -> None:
         self.mailbox = Mailbox()
-        self.application = EntryApplication(self.mailbox, {"t": 1}, lambda: '{"a":1}')
+        self.application = EntryApplication(
+            self.mailbox, {"t": 1}, lambda: '{"a":1}', waiting_limit
+        )
         self.job_answer = answer
         self.outcome = outcome
         self.thread = threading.Thread(target=self.serve, daemon=True)
@@ -136,3 +143,24 @@
     core.application.leaving = True
     assert core.call("GET", "/ready")[0] == 503
     assert core.call("GET", "/health")[0] == 200
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "resubmission", "status", "state"),
+    [
+        (True, True, 503, "not_run"),
+        (False, False, 503, "not_run"),
+        (False, True, 504, "unknown"),
+    ],
+)
+def test_waiting_callers_leave_threads_for_health_checks(
+    idempotent: bool, resubmission: bool, status: int, state: str
+) -> None:
+    core = FakeCore(None, waiting_limit=0)
+    task = {"id": "a", "kind": "quote", "idempotent": idempotent}
+    job = {**JOB, "tasks": [task], "resubmission": resubmission}
+    got, headers, body = core.call("POST", "/v1/jobs", job)
+    assert (got, body["state"]) == (status, state)
+    assert "Retry-After" in headers
+    assert core.mailbox.take(0.0) is None
+    assert core.call("GET", "/ready")[0] == 200
