--- a/bench/processes.py
+++ b/bench/processes.py
@@ -167,6 +167,34 @@
         )
 
 
+@application.command
+def preset() -> None:
+    """Measure how long a change of preset takes to be in force everywhere."""
+    with Fleet(3, [TargetPlan()] * 10) as fleet:
+        for version, name in enumerate(("peak", "ordinary", "maintenance")):
+            change = {"name": name, "expected_version": version}
+            begun_s = time.monotonic()
+            status, _ = call(fleet.https[version], "PUT", "/v1/preset", change)
+            accepted_s = time.monotonic() - begun_s
+            while set(presets_in_force(fleet)) != {name}:
+                time.sleep(0.005)
+            print(
+                f"preset {name}: HTTP {status} after {accepted_s * 1_000:.0f} ms, in "
+                f"force at 3 entries and 10 agents within "
+                f"{(time.monotonic() - begun_s) * 1_000:.0f} ms"
+            )
+
+
+def presets_in_force(fleet: Fleet) -> list[str]:
+    """Return the preset of each entry and agent."""
+    entries = [call(item, "GET", "/v1/preset")[1]["name"] for item in fleet.https]
+    agents = [
+        call(fleet.https[0], "GET", f"/v1/agents/agent-{index}/dump")[1]["preset"]
+        for index in range(len(fleet.targets))
+    ]
+    return entries + agents
+
+
 @application.command
 def throughput(seconds: float = 15.0, callers: int = 12, tasks: int = 200) -> None:
     """Measure task starts per second and per core of one entry."""
--- a/tests/scenarios/promises.feature
+++ b/tests/scenarios/promises.feature
@@ -106,3 +106,35 @@
     When a caller submits a job that needs an accelerator
     Then the job ends not_run
     And it was answered within 5 ms
+
+  Scenario: A straggler delays no quote beyond its deadline
+    Given 2 entries and 3 agents
+    And agent-0 stalls every task for 9000 ms
+    When a caller submits a quote job of 9 tasks to entry-0
+    And 6000 ms pass with the ordinary preset and a budget for hedges
+    Then the job ends complete
+
+  Scenario: A target that fails everything does not fail the quotes
+    Given 2 entries and 3 agents
+    And agent-0 fails everything
+    When a caller submits a quote job of 9 tasks to entry-0
+    Then the job ends complete
+
+  Scenario: A slow log delays bookings and starts none twice
+    Given 2 entries and 3 agents
+    And the log is slow by 400 ms
+    When a caller submits a booking job of 6 tasks to entry-0
+    Then the job ends complete
+    And no booking was started twice
+
+  Scenario: A burst beyond the capacity is answered, if not all is run
+    Given 2 entries and 3 agents
+    When 60 callers submit jobs of 30 tasks at once
+    Then every caller has an answer
+    And no booking was started twice
+
+  Scenario: Declared run times that are far off do not stop a job
+    Given 2 entries and 3 agents
+    And tasks take 20 times as long as declared
+    When a caller submits a booking job of 4 tasks to entry-0
+    Then the job ends complete
--- a/tests/scenarios/test_promises.py
+++ b/tests/scenarios/test_promises.py
@@ -81,6 +81,38 @@
     stage.world.pause(agent)
 
 
+@given(parsers.parse("{agent} stalls every task for {time:d} ms"))
+def stall(stage: Stage, agent: str, time: int) -> None:
+    stage.world.nodes[agent].target.stall_ms = time
+
+
+@given(parsers.parse("{agent} fails everything"))
+def fail(stage: Stage, agent: str) -> None:
+    stage.world.nodes[agent].target.failing = True
+
+
+@given(parsers.parse("the log is slow by {time:d} ms"))
+def slow_log(stage: Stage, time: int) -> None:
+    stage.world.log.slow_ms = time
+
+
+@given(parsers.parse("tasks take {factor:d} times as long as declared"))
+def misdeclare(stage: Stage, factor: int) -> None:
+    for agent in stage.world.agents:
+        stage.world.nodes[agent].target.slowness = float(factor)
+
+
+@when(
+    parsers.parse("{time:d} ms pass with the ordinary preset and a budget for hedges")
+)
+def pass_with_hedges(stage: Stage, time: int) -> None:
+    for entry in stage.world.entries:
+        state = stage.world.entry_state(entry)
+        assert state.preset.name == "ordinary"
+        state.hedge_budget.tokens = 10.0
+    stage.wait_ms(time)
+
+
 @when(parsers.parse("a caller submits a booking job of {count:d} tasks to {entry}"))
 def submit_booking(stage: Stage, count: int, entry: str) -> None:
     stage.submit(entry, mixed_job("job", count, BUDGET_MS))
