Keep dialers in one place; add slopes for changes and commands

Cause: both processes held the same code for their dialers; the capacity page lacked the cost of a change of preset and of an operator's command. Change: DialerPool serves both; two slopes and their rows.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -9,8 +9,9 @@
 
 import json
 import os
-import random
+import resource
 import statistics
+import subprocess
 import time
 import tracemalloc
 from pathlib import Path
@@ -21,6 +22,8 @@
 import msgspec
 
 from bench.entry_core import cost_per_task_us
+from bench.entry_core import make_core
+from bench.fleet import BIN
 from bench.fleet import Fleet
 from bench.fleet import TargetPlan
 from bench.processes import link_bytes
@@ -31,6 +34,7 @@
 from sardineferry.decision.agent.table import StartTable
 from sardineferry.decision.claims import ClaimRecord
 from sardineferry.decision.claims import ClaimTable
+from sardineferry.decision.effects import Send
 from sardineferry.decision.events import LogRecord
 from sardineferry.messages import encode_frame
 from sardineferry.messages import wire
@@ -212,29 +216,70 @@
     return float(len(encode_frame([wire.PeerDigest("entry-00", running)])))
 
 
-def main() -> None:
-    """Measure every slope and write them down."""
-    random.seed(1)
-    lines = [
+def preset_us(agents: int) -> float:
+    """Return the entry's time to tell a change to its agents in microseconds."""
+    core = make_core(agents)
+    repeats = 200
+    begun_s = time.process_time()
+    for version in range(1, repeats + 1):
+        name = "peak" if version % 2 else "ordinary"
+        for effect in core.handle(wire.PresetNotice(version, name), "peer", 0):
+            if isinstance(effect, Send):
+                encode_frame([effect.message])
+    return (time.process_time() - begun_s) / repeats * US_PER_S
+
+
+def operator_ms(calls: int) -> float:
+    """Return the processor time of operators' commands in milliseconds."""
+    before = resource.getrusage(resource.RUSAGE_CHILDREN)
+    command = [str(BIN / "sardineferry"), "validate", "examples/tanjung-entry.json"]
+    for _ in range(calls):
+        subprocess.run(command, check=True, capture_output=True)
+    after = resource.getrusage(resource.RUSAGE_CHILDREN)
+    used_s = after.ru_utime + after.ru_stime - before.ru_utime - before.ru_stime
+    return used_s * 1_000
+
+
+def process_lines() -> list[Line]:
+    """Measure what needs real processes."""
+    return [
         *idle_lines(),
         sweep("entry_us_by_job_tasks", "us", (50, 200, 600, 1_300), entry_busy_us),
+        sweep("operator_ms_by_calls", "ms", (2, 5, 10), operator_ms),
+    ]
+
+
+def decision_lines() -> list[Line]:
+    """Measure the decision code alone."""
+    return [
         sweep(
             "decision_us_by_agents",
             "us",
             (6, 60, 270),
             lambda agents: cost_per_task_us(agents, jobs=50),
         ),
+        sweep("preset_us_by_agents", "us", (10, 90, 270), preset_us),
         sweep("table_bytes_by_rows", "bytes", (1_000, 10_000, 50_000), table_bytes),
         sweep("claim_bytes_by_claims", "bytes", (1_000, 10_000, 50_000), claim_bytes),
         sweep("fold_us_by_claims", "us", (10, 100, 400), fold_us),
         sweep("frame_bytes_by_tasks", "bytes", (1, 16, 128), start_frame_bytes),
         sweep("digest_bytes_by_teams", "bytes", (7, 30, 77), digest_bytes),
     ]
-    document = {
-        "machine": f"{os.cpu_count()} cores",
-        "lines": [line._asdict() for line in lines],
-    }
-    SLOPES.write_text(json.dumps(document, indent=1) + "\n")
+
+
+def main(processes: bool = True) -> None:
+    """Measure every slope and write them down.
+
+    Args:
+        processes: Measure real processes too; else their lines are kept.
+
+    """
+    document = json.loads(SLOPES.read_text())
+    kept = {line["name"]: line for line in document["lines"]}
+    lines = [*(process_lines() if processes else []), *decision_lines()]
+    kept |= {line.name: line._asdict() for line in lines}
+    written = {"machine": f"{os.cpu_count()} cores", "lines": list(kept.values())}
+    SLOPES.write_text(json.dumps(written, indent=1) + "\n")
 
 
 if __name__ == "__main__":
--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -217,7 +217,7 @@
     ]
 
 
-def log_rows() -> list[Row]:
+def log_rows(lines: Lines) -> list[Row]:
     """Compute the rows of the platform's log and of changes."""
     entries = DATA_CENTRES * ENTRIES_PER_DATA_CENTRE
     bookings = STARTS_PER_S / TASKS_PER_JOB * BOOKING_SHARE
@@ -266,6 +266,25 @@
             None,
             f"Over all entries; {LINKS_PER_AGENT} an agent.",
         ),
+        Row(
+            "entry",
+            "telling changes to agents",
+            at(lines, "preset_us_by_agents", WORKERS * LINKS_PER_AGENT / entries)
+            * CHANGES_PER_DAY
+            / DAY_S
+            / 1e6,
+            "cores",
+            CORE_BOUND,
+            "One message an agent and change.",
+        ),
+        Row(
+            "operator",
+            "processor of a command",
+            lines["operator_ms_by_calls"]["slope"],
+            "ms",
+            None,
+            "A process of its own for each command; nothing stays.",
+        ),
         Row(
             "operator",
             "announcements of restarts",
@@ -279,7 +298,7 @@
 
 def render(lines: Lines) -> str:
     """Return the page."""
-    rows = agent_rows(lines) + entry_rows(lines) + log_rows()
+    rows = agent_rows(lines) + entry_rows(lines) + log_rows(lines)
     ranked = sorted(
         (row for row in rows if row.bound),
         key=lambda row: abs((row.figure / (row.bound or 1)) - 1),
--- a/src/sardineferry/agent/process.py
+++ b/src/sardineferry/agent/process.py
@@ -17,7 +17,7 @@
 from sardineferry.signals import SignalWatch
 from sardineferry.state_dump import print_dump
 from sardineferry.state_dump import read_torn
-from sardineferry.transport import Dialer
+from sardineferry.transport import DialerPool
 
 if TYPE_CHECKING:
     from random import Random
@@ -51,12 +51,11 @@
         self.core = core
         self.mailbox = mailbox
         self.links = links
-        self.random = random
         self.target = TargetClient(
             settings.target, total_units(settings.shape), mailbox
         )
         self.usage = UsagePoll(settings.target, mailbox)
-        self.dialers: dict[str, Dialer] = {}
+        self.dialers = DialerPool(mailbox, links, random)
         self.loop = CoreLoop(core, mailbox, self.perform, links)
         self.metrics = MetricsReporter(
             settings.statsd, f"agent.{settings.name}", core.state.counters
@@ -67,7 +66,7 @@
         """Start every thread."""
         self.loop.start()
         for address in self.settings.entries:
-            self.dial(address)
+            self.dialers.dial(address)
         if self.settings.shape.kind == "worker":
             self.usage.start()
         self.metrics.start()
@@ -78,14 +77,6 @@
             self.settings.target,
         )
 
-    def dial(self, address: str) -> None:
-        """Open a link to an entry and keep it open."""
-        if address in self.dialers:
-            return
-        dialer = Dialer(address, self.mailbox, self.links, self.random)
-        self.dialers[address] = dialer
-        dialer.start()
-
     def run(self) -> None:
         """Serve until a signal or an operator asks to drain."""
         self.signals.install()
@@ -100,11 +91,9 @@
         logger.info("Draining.")
         self.mailbox.put(Drain("signal"))
         self.loop.exited.wait(DRAIN_LIMIT_S)
-        for dialer in self.dialers.values():
-            dialer.stop()
+        self.dialers.stop()
         self.links.close_all()
-        for dialer in self.dialers.values():
-            dialer.join()
+        self.dialers.join()
         logger.info("Left; nothing was in flight.")
 
     def dump(self) -> str:
@@ -124,14 +113,12 @@
     @perform.register
     def connect(self, effect: effects.Connect) -> None:
         """Open a link to an entry learned of."""
-        self.dial(effect.address)
+        self.dialers.dial(effect.address)
 
     @perform.register
     def disconnect(self, effect: effects.Disconnect) -> None:
         """Dial an address no longer."""
-        dialer = self.dialers.pop(effect.address, None)
-        if dialer is not None:
-            dialer.stop()
+        self.dialers.drop(effect.address)
 
     @perform.register
     def stop_task(self, effect: effects.StopTask) -> None:
--- a/src/sardineferry/entry/process.py
+++ b/src/sardineferry/entry/process.py
@@ -21,7 +21,7 @@
 from sardineferry.signals import SignalWatch
 from sardineferry.state_dump import print_dump
 from sardineferry.state_dump import read_torn
-from sardineferry.transport import Dialer
+from sardineferry.transport import DialerPool
 from sardineferry.transport import Listener
 
 if TYPE_CHECKING:
@@ -66,7 +66,6 @@
         self.core = core
         self.mailbox = mailbox
         self.links = links
-        self.random = random
         self.application = EntryApplication(
             mailbox,
             settings.teams,
@@ -84,7 +83,7 @@
             ),
             CLAIM_STREAM: LogTail(CLAIM_STREAM, settings.log, mailbox, CLAIM_POLL_MS),
         }
-        self.dialers: dict[str, Dialer] = {}
+        self.dialers = DialerPool(mailbox, links, random)
         self.loop = CoreLoop(core, mailbox, self.perform, links)
         self.metrics = MetricsReporter(
             settings.statsd, f"entry.{settings.name}", core.state.counters
@@ -99,7 +98,7 @@
         self.listener.start()
         self.http.start()
         for address in self.settings.peers:
-            self.dial(address)
+            self.dialers.dial(address)
         self.metrics.start()
         logger.info(
             "Entry {} serves callers on port {} and links on port {}.",
@@ -108,14 +107,6 @@
             self.listener.port,
         )
 
-    def dial(self, address: str) -> None:
-        """Open a link to another entry and keep it open."""
-        if address in self.dialers:
-            return
-        dialer = Dialer(address, self.mailbox, self.links, self.random)
-        self.dialers[address] = dialer
-        dialer.start()
-
     def run(self) -> None:
         """Serve until a signal asks to drain, then finish and leave."""
         self.signals.install()
@@ -132,6 +123,7 @@
         self.mailbox.put(Drain("signal"))
         self.loop.exited.wait(DRAIN_LIMIT_S)
         self.wait_for_callers()
+        self.dialers.stop()
         self.links.close_all()
         self.listener.stop()
         self.http.stop()
@@ -171,16 +163,14 @@
     @perform.register
     def connect(self, effect: effects.Connect) -> None:
         """Open a link to an entry learned of."""
-        self.dial(effect.address)
+        self.dialers.dial(effect.address)
 
     @perform.register
     def disconnect(self, effect: effects.Disconnect) -> None:
         """Dial an address no longer, unless the settings name it."""
         if effect.address in self.settings.peers:
             return
-        dialer = self.dialers.pop(effect.address, None)
-        if dialer is not None:
-            dialer.stop()
+        self.dialers.drop(effect.address)
 
     @perform.register
     def append(self, effect: effects.Append) -> None:
--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import json
 import signal
 import subprocess
@@ -20,6 +21,8 @@
 from bench.processes import states
 from bench.processes import submit
 
+from sardineferry.entry.requests import BODY_LIMIT_BYTES
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterator
@@ -208,3 +211,16 @@
         status, answer, _ = submit(fleet.https[0], job)
     assert (status, answer["state"]) == (422, "not_run")
     assert "4001 MB" in answer["reason"]
+
+
+def test_oversized_body_is_refused_with_its_bound(fleet: Fleet) -> None:
+    connection = http.client.HTTPConnection(fleet.https[0], timeout=WAIT_S)
+    try:
+        connection.putrequest("POST", "/v1/jobs")
+        connection.putheader("Content-Length", str(BODY_LIMIT_BYTES + 1))
+        connection.endheaders()
+        connection.send(b"{")
+        assert connection.getresponse().status == 413
+    finally:
+        connection.close()
+    assert call(fleet.https[0], "GET", "/health")[0] == 200
