Remove what stood twice in routing and broadcasting, and dead names

Cause: what others have in flight was computed twice for each agent that was looked at; a message to all linked agents and peers and the look-up of a linked agent were each written twice; three names were used nowhere. Change: one computation in pick, one broadcast, one look-up; names removed. Conclusion: no behaviour changed.

--- a/bench/entry_core.py
+++ b/bench/entry_core.py
@@ -24,7 +24,6 @@
 
 SLOTS = 96
 US_PER_S = 1e6
-TICK_TASKS = 100
 
 
 def make_core(agents: int) -> EntryCore:
--- /dev/null
+++ b/src/sardineferry/decision/entry/broadcast.py
@@ -0,0 +1,23 @@
+"""Sends one message to everybody who is linked to an entry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sardineferry.decision.effects import Send
+
+if TYPE_CHECKING:
+    from sardineferry.decision.entry.state import EntryState
+    from sardineferry.messages.wire import WireMessage
+
+__all__ = ["broadcast"]
+
+
+def broadcast(state: EntryState, message: WireMessage) -> None:
+    """Send a message to every linked agent, then to every linked peer."""
+    state.effects.extend(
+        Send(member.name, message) for member in state.members.values() if member.linked
+    )
+    state.effects.extend(
+        Send(peer.link, message) for peer in state.peers.values() if peer.link
+    )
--- a/src/sardineferry/decision/entry/operator_rules.py
+++ b/src/sardineferry/decision/entry/operator_rules.py
@@ -6,6 +6,7 @@
 from sardineferry.decision.effects import DumpAnswer
 from sardineferry.decision.effects import Send
 from sardineferry.decision.entry import presets
+from sardineferry.decision.entry.broadcast import broadcast
 from sardineferry.decision.entry.rules import handle_event
 from sardineferry.decision.entry.state import EntryState
 from sardineferry.messages import wire
@@ -31,13 +32,13 @@
 def on_drain(event: events.Drain, state: EntryState, sender: str, now_ms: int) -> None:
     """Take no more submissions; what is in flight is finished."""
     state.leaving = True
-    notice = wire.EntryLeaving(state.name)
-    state.effects.extend(
-        Send(member.name, notice) for member in state.members.values() if member.linked
-    )
-    state.effects.extend(
-        Send(peer.link, notice) for peer in state.peers.values() if peer.link
-    )
+    broadcast(state, wire.EntryLeaving(state.name))
+
+
+def is_linked(state: EntryState, agent: str) -> bool:
+    """Tell whether an agent of that name is linked here."""
+    member = state.members.get(agent)
+    return member is not None and member.linked
 
 
 @handle_event.register
@@ -45,8 +46,7 @@
     event: events.DumpAgent, state: EntryState, sender: str, now_ms: int
 ) -> None:
     """Ask an agent for its state."""
-    member = state.members.get(event.agent)
-    if member is None or not member.linked:
+    if not is_linked(state, event.agent):
         state.effects.append(DumpAnswer(event.token, ""))
         return
     state.dumps.add(event.token)
@@ -68,8 +68,7 @@
     event: events.DrainAgent, state: EntryState, sender: str, now_ms: int
 ) -> None:
     """Ask an agent to drain and leave."""
-    member = state.members.get(event.agent)
-    if member is None or not member.linked:
+    if not is_linked(state, event.agent):
         state.effects.append(DumpAnswer(event.token, ""))
         return
     state.effects.append(Send(event.agent, wire.DrainRequest("operator")))
--- a/src/sardineferry/decision/entry/presets.py
+++ b/src/sardineferry/decision/entry/presets.py
@@ -8,7 +8,7 @@
 
 from sardineferry.decision.effects import Append
 from sardineferry.decision.effects import PresetAnswer
-from sardineferry.decision.effects import Send
+from sardineferry.decision.entry.broadcast import broadcast
 from sardineferry.decision.entry.state import PresetChange
 from sardineferry.decision.preset import CONFIG_STREAM
 from sardineferry.decision.preset import PresetRecord
@@ -39,13 +39,7 @@
     if preset.version <= state.preset.version:
         return
     state.preset = preset
-    notice = wire.PresetNotice(preset.version, preset.name)
-    state.effects.extend(
-        Send(member.name, notice) for member in state.members.values() if member.linked
-    )
-    state.effects.extend(
-        Send(peer.link, notice) for peer in state.peers.values() if peer.link
-    )
+    broadcast(state, wire.PresetNotice(preset.version, preset.name))
 
 
 def change(state: EntryState, event: SetPreset, now_ms: int) -> None:
--- a/src/sardineferry/decision/entry/queue.py
+++ b/src/sardineferry/decision/entry/queue.py
@@ -56,15 +56,6 @@
             return iter(tuple(self.teams))
         return iter(sorted(self.teams, key=lambda team: self.running.get(team, 0)))
 
-    def oldest_queued_at_ms(self) -> int:
-        """Return when the longest waiting head was queued.
-
-        Raises:
-            ValueError: Nothing waits.
-
-        """
-        return min(team[0].queued_at_ms for team in self.teams.values())
-
     def note_running(self, team: str, units: int) -> None:
         """Add to (or, below zero, take from) a team's running units."""
         total = self.running.get(team, 0) + units
--- a/src/sardineferry/decision/entry/routing.py
+++ b/src/sardineferry/decision/entry/routing.py
@@ -89,24 +89,18 @@
     return -(-member.capacity // entries)
 
 
-def others_of(state: EntryState, member: Member, now_ms: int) -> float:
-    """Return the units that other entries seem to have in flight."""
-    return member.others_now(now_ms, state.policy.load_half_life_ms)
-
-
 def may_send(
-    state: EntryState, member: Member, task: TaskEntry, units: int, now_ms: int
+    state: EntryState, member: Member, task: TaskEntry, excess: float, now_ms: int
 ) -> bool:
     """Tell whether an agent may get this task now.
 
-    What this entry has in flight there stays within what others seem to
-    leave, or within an even share.
+    ``excess`` is by how many units the task would exceed what others seem to
+    leave; it must not, unless this entry stays within an even share.
     """
     if member.full_until_ms > now_ms or member.name in task.placed:
         return False
-    taken = member.own + units
-    room = member.capacity - others_of(state, member, now_ms)
-    if taken > room and member.own and taken > share_of(state, member):
+    taken = member.own + task_units(task.task, member.shape)
+    if excess > 0 and member.own and taken > share_of(state, member):
         return False
     if not member.health.allows(now_ms):
         return False
@@ -139,12 +133,13 @@
     """
     best: Member | None = None
     best_rank = (True, 0.0)
+    half_life_ms = state.policy.load_half_life_ms
     for member in state.fastest_first:
+        others = member.others_now(now_ms, half_life_ms)
         units = task_units(task.task, member.shape)
-        if not may_send(state, member, task, units, now_ms):
-            continue
-        others = others_of(state, member, now_ms)
         excess = member.own + others + units - member.capacity
+        if not may_send(state, member, task, excess, now_ms):
+            continue
         failed = member.name in task.tried
         if excess <= 0 and not failed:
             return member
--- a/src/sardineferry/standin/target.py
+++ b/src/sardineferry/standin/target.py
@@ -22,7 +22,6 @@
 
 DEFAULT_RUN_MS = 100
 STEP_S = 0.05
-THROTTLE_FACTOR = 2.0
 
 
 class TargetFaults(TypedDict):
