--- /dev/null
+++ b/src/sardineferry/burst/parts.py
@@ -0,0 +1,68 @@
+"""The parts that processes for burst jobs are built of."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from typing import Protocol
+
+from sardineferry.burst.settings_watch import SettingsWatch
+from sardineferry.burst.worker_calls import WorkerCalls
+from sardineferry.decision.burst import BurstAgentCore
+from sardineferry.decision.burst import BurstEntryCore
+from sardineferry.decision.burst.requests import BurstReply
+from sardineferry.entry.waiting import WaitingRequests
+from sardineferry.exposition import Exposition
+from sardineferry.http_server import HttpServer
+from sardineferry.mailbox import Mailbox
+from sardineferry.transport import DialerPool
+from sardineferry.transport import Listener
+from sardineferry.transport.registry import LinkRegistry
+
+__all__ = ["AgentParts", "EntryParts", "Leaving", "Startable"]
+
+
+class Startable(Protocol):
+    """A thread of its own."""
+
+    def start(self) -> None:
+        """Start the thread."""
+
+
+class Leaving(Protocol):
+    """An application that asks callers to close while the process leaves."""
+
+    leaving: bool
+
+
+class EntryParts(NamedTuple):
+    """What an entry is built of."""
+
+    core: BurstEntryCore
+    mailbox: Mailbox
+    links: LinkRegistry
+    listener: Listener
+    application: Leaving
+    waiting: WaitingRequests[BurstReply]
+    callers: HttpServer
+    readiness: HttpServer
+    watches: tuple[Startable, ...]
+    exposition: Exposition
+    settings_watch: SettingsWatch
+
+
+class AgentParts(NamedTuple):
+    """What an agent is built of.
+
+    Holds wait at the worker, so they have a thread of their own.
+    """
+
+    core: BurstAgentCore
+    mailbox: Mailbox
+    links: LinkRegistry
+    dialers: DialerPool
+    orders: WorkerCalls
+    holds: WorkerCalls
+    reports: HttpServer
+    watches: tuple[Startable, ...]
+    exposition: Exposition
+    settings_watch: SettingsWatch
--- a/src/sardineferry/core_loop.py
+++ b/src/sardineferry/core_loop.py
@@ -4,7 +4,9 @@
 
 import threading
 from typing import TYPE_CHECKING
+from typing import Generic
 from typing import Protocol
+from typing import TypeVar
 
 from sardineferry.clock import now_ms
 from sardineferry.decision.effects import Exit
@@ -13,8 +15,8 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
-    from sardineferry.decision.effects import Effect
     from sardineferry.mailbox import Mailbox
     from sardineferry.messages import WireMessage
     from sardineferry.transport.registry import LinkRegistry
@@ -23,33 +25,36 @@
 
 BATCH_LIMIT = 256
 
+EffectT = TypeVar("EffectT")
+EffectT_co = TypeVar("EffectT_co", covariant=True)
+
 logger = part_logger("core")
 
 
-class Core(Protocol):
+class Core(Protocol[EffectT_co]):
     """What the loop drives."""
 
-    def handle(self, event: object, sender: str, now_ms: int) -> list[Effect]:
+    def handle(self, event: object, sender: str, now_ms: int) -> Sequence[EffectT_co]:
         """Apply an event."""
 
-    def tick(self, now_ms: int) -> list[Effect]:
+    def tick(self, now_ms: int) -> Sequence[EffectT_co]:
         """Apply what is due by the clock."""
 
     def tick_interval_ms(self) -> int:
         """Return how long the next tick may wait."""
 
-    def take_effects(self) -> list[Effect]:
+    def take_effects(self) -> Sequence[EffectT_co]:
         """Return and clear the collected effects."""
 
 
-class CoreLoop:
+class CoreLoop(Generic[EffectT]):
     """Feeds a core from a mailbox and the clock."""
 
     def __init__(
         self,
-        core: Core,
+        core: Core[EffectT],
         mailbox: Mailbox,
-        perform: Callable[[Effect], None],
+        perform: Callable[[EffectT], None],
         links: LinkRegistry,
     ) -> None:
         """Name the core, its mailbox and what carries out other effects."""
@@ -102,7 +107,7 @@
         name = type(event).__name__
         self.guard(name, lambda: self.core.handle(event, sender, now_ms()))
 
-    def guard(self, name: str, rule: Callable[[], list[Effect]]) -> None:
+    def guard(self, name: str, rule: Callable[[], Sequence[EffectT]]) -> None:
         """Apply a rule; a defect in it must not end the process."""
         try:
             effects = rule()
@@ -111,7 +116,7 @@
             effects = self.core.take_effects()
         self.carry_out(effects)
 
-    def carry_out(self, effects: list[Effect]) -> None:
+    def carry_out(self, effects: Sequence[EffectT]) -> None:
         """Perform effects in order."""
         for effect in effects:
             if isinstance(effect, Send):
--- /dev/null
+++ b/src/sardineferry/decision/burst/agent.py
@@ -0,0 +1,79 @@
+"""Drives an agent's decisions on a leased worker: one event in, effects out."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sardineferry.decision.burst import agent_links
+from sardineferry.decision.burst import agent_runs
+from sardineferry.decision.burst import agent_worker
+from sardineferry.decision.burst import timing
+from sardineferry.decision.burst.agent_rules import handle_agent_event
+from sardineferry.decision.burst.agent_state import BurstAgentState
+from sardineferry.decision.effects import Exit
+
+if TYPE_CHECKING:
+    from sardineferry.decision.burst.effects import BurstEffect
+
+__all__ = ["RULES", "BurstAgentCore", "BurstAgentState"]
+
+# Importing these modules registers their rules.
+RULES = (agent_links, agent_runs, agent_worker)
+
+IDLE_TICK_MS = 100
+# What is left of the grace for stopping runs and for telling their ends.
+STOP_RESERVE_MS = 900
+LAST_WORDS_MS = 150
+EXIT_RESERVE_MS = 250
+
+
+class BurstAgentCore:
+    """The agent's state and its rules."""
+
+    def __init__(self, state: BurstAgentState) -> None:
+        """Drive this state."""
+        self.state = state
+
+    def handle(self, event: object, sender: str, now_ms: int) -> list[BurstEffect]:
+        """Apply an event from a link (``sender``) or from the process."""
+        handle_agent_event(event, self.state, sender, now_ms)
+        agent_worker.request_hold(self.state, now_ms)
+        agent_links.push_room(self.state, now_ms)
+        return self.take_effects()
+
+    def tick(self, now_ms: int) -> list[BurstEffect]:
+        """Apply what is due by the clock."""
+        state = self.state
+        agent_worker.check_worker(state, now_ms)
+        agent_links.check_owners(state, now_ms)
+        agent_links.send_beats(state, now_ms)
+        if state.leaving_ms is not None:
+            self.leave(state.leaving_ms, now_ms)
+        agent_worker.request_hold(state, now_ms)
+        agent_links.push_room(state, now_ms)
+        return self.take_effects()
+
+    def leave(self, since_ms: int, now_ms: int) -> None:
+        """Finish what runs within the grace, then exit."""
+        state = self.state
+        elapsed_ms = now_ms - since_ms
+        if state.runs and elapsed_ms >= state.grace_ms - STOP_RESERVE_MS:
+            for run in list(state.runs.values()):
+                agent_runs.begin_stop(state, run, "agent is stopping")
+        idle = not state.runs and not state.hold_pending
+        told = now_ms - max(since_ms, state.last_end_ms) >= LAST_WORDS_MS
+        if (idle and told) or elapsed_ms >= state.grace_ms - EXIT_RESERVE_MS:
+            state.effects.append(Exit("drained" if idle else "grace is over"))
+
+    def tick_interval_ms(self) -> int:
+        """Return how long the next tick may wait."""
+        if self.state.room_dirty:
+            return agent_links.ROOM_GAP_MS
+        busy = self.state.runs or self.state.leaving_ms is not None
+        return timing.TICK_MS if busy else IDLE_TICK_MS
+
+    def take_effects(self) -> list[BurstEffect]:
+        """Return and clear the collected effects."""
+        effects = self.state.effects
+        self.state.effects = []
+        return effects
--- /dev/null
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -0,0 +1,265 @@
+"""The agent's rules on entries: links, signs of life and pushes of room."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sardineferry.decision.burst import agent_runs
+from sardineferry.decision.burst import timing
+from sardineferry.decision.burst.agent_rules import handle_agent_event
+from sardineferry.decision.burst.agent_state import Owner
+from sardineferry.decision.burst.effects import DropLink
+from sardineferry.decision.burst.effects import LogDecision
+from sardineferry.decision.effects import Connect
+from sardineferry.decision.effects import Send
+from sardineferry.decision.events import AddressesRead
+from sardineferry.decision.events import Drain
+from sardineferry.decision.events import LinkDown
+from sardineferry.decision.events import LinkUp
+from sardineferry.messages.burst import AgentBeat
+from sardineferry.messages.burst import ConfigOffer
+from sardineferry.messages.burst import ConfigRequest
+from sardineferry.messages.burst import ConfigText
+from sardineferry.messages.burst import EntryBeat
+from sardineferry.messages.burst import EntryLeft
+from sardineferry.messages.burst import EntryWelcome
+from sardineferry.messages.burst import HeldRuns
+from sardineferry.messages.burst import WorkerAnnounce
+from sardineferry.messages.burst import WorkerProfile
+from sardineferry.messages.burst import WorkerRoom
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sardineferry.decision.burst.agent_state import BurstAgentState
+    from sardineferry.messages import WireMessage
+
+__all__ = ["ROOM_GAP_MS", "check_owners", "push_room", "send_beats"]
+
+# Changes of room within this time travel in one push; an entry that places by
+# older room is refused, which costs it a round trip of about 3 ms.
+ROOM_GAP_MS = 4
+# An entry that lost its link asks for ends of this long ago at the most.
+ENDS_RESENT_MS = 10_000
+
+
+@handle_agent_event.register(LinkUp)
+def on_link_up(
+    event: LinkUp, state: BurstAgentState, _sender: str, _now_ms: int
+) -> None:
+    """Announce the worker; the entry answers with its name."""
+    announce = WorkerAnnounce(state.name, state.incarnation, state.data_centre)
+    state.effects.append(Send(event.name, announce))
+
+
+@handle_agent_event.register(LinkDown)
+def on_link_down(
+    event: LinkDown, state: BurstAgentState, _sender: str, now_ms: int
+) -> None:
+    """Keep the runs: the entry may be back within the silence bound."""
+    name = state.link_owners.pop(event.name, None)
+    owner = state.owners.get(name) if name else None
+    if owner is None or owner.link != event.name:
+        return
+    owner.linked = False
+    log_link(state, "link lost", owner, now_ms)
+
+
+@handle_agent_event.register(EntryWelcome)
+def on_welcome(
+    event: EntryWelcome, state: BurstAgentState, sender: str, now_ms: int
+) -> None:
+    """Greet an entry: one that is new, back on a new link, or restarted."""
+    owner = state.owners.get(event.entry)
+    if owner is not None and owner.incarnation != event.incarnation:
+        for run in state.runs_of(owner.name):
+            agent_runs.begin_stop(state, run, "entry restarted")
+        owner = None
+    if owner is None:
+        owner = Owner(event.entry, event.incarnation, sender, now_ms)
+        state.owners[event.entry] = owner
+    owner.link = sender
+    owner.linked = True
+    owner.heard_ms = now_ms
+    state.link_owners[sender] = owner.name
+    if state.total is None and event.profile is not None:
+        state.total = event.profile.total
+        state.labels = event.profile.labels
+        state.room_dirty = True
+    connect_to(state, event.addresses)
+    greet(state, owner, now_ms)
+    log_link(state, "link made", owner, now_ms)
+
+
+def greet(state: BurstAgentState, owner: Owner, now_ms: int) -> None:
+    """Tell an entry all that it may have missed."""
+    held = [run.ref for run in state.runs_of(owner.name)]
+    messages: list[WireMessage] = [
+        *(
+            ended
+            for ended_ms, ended in owner.ends
+            if now_ms - ended_ms <= ENDS_RESENT_MS
+        ),
+        HeldRuns(tuple(held), owner.last_order),
+        AgentBeat(now_ms),
+    ]
+    state.effects.extend(Send(owner.link, message) for message in messages)
+    send_profile(state, owner)
+    send_room(state, owner, now_ms)
+    state.effects.extend(state.config.offers([owner.link]))
+
+
+def connect_to(state: BurstAgentState, addresses: Iterable[str]) -> None:
+    """Dial entries that were not known."""
+    for address in addresses:
+        if address not in state.addresses:
+            state.addresses.add(address)
+            state.effects.append(Connect(address))
+
+
+@handle_agent_event.register(AddressesRead)
+def on_addresses(
+    event: AddressesRead, state: BurstAgentState, _sender: str, _now_ms: int
+) -> None:
+    """Dial entries that the platform's store names."""
+    connect_to(state, event.addresses)
+
+
+@handle_agent_event.register(EntryBeat)
+def on_entry_beat(
+    event: EntryBeat, state: BurstAgentState, sender: str, now_ms: int
+) -> None:
+    """Let the entry's runs go on while it echoes fresh stamps."""
+    owner = owner_of(state, sender)
+    if owner is None:
+        return
+    owner.heard_ms = now_ms
+    alive_until_ms = event.echo_ms + timing.SILENCE_MS
+    owner.alive_until_ms = max(owner.alive_until_ms, alive_until_ms)
+
+
+@handle_agent_event.register(EntryLeft)
+def on_entry_left(
+    event: EntryLeft, state: BurstAgentState, _sender: str, _now_ms: int
+) -> None:
+    """Note that an entry ends by itself; its link will end."""
+    state.effects.append(LogDecision("entry left", {"entry": event.entry}))
+
+
+@handle_agent_event.register(ConfigOffer)
+def on_config_offer(
+    event: ConfigOffer, state: BurstAgentState, sender: str, _now_ms: int
+) -> None:
+    """Ask for a newer configuration, or offer ours."""
+    state.effects.extend(state.config.answer_offer(sender, event.version))
+
+
+@handle_agent_event.register(ConfigRequest)
+def on_config_request(
+    _event: ConfigRequest, state: BurstAgentState, sender: str, _now_ms: int
+) -> None:
+    """Pass our configuration on."""
+    state.effects.extend(state.config.answer_request(sender))
+
+
+@handle_agent_event.register(ConfigText)
+def on_config_text(
+    event: ConfigText, state: BurstAgentState, sender: str, _now_ms: int
+) -> None:
+    """Hold a newer configuration and offer it to the other entries."""
+    if state.config.adopt(event.version, event.text):
+        state.effects.extend(state.config.offers(state.link_owners, sender))
+
+
+@handle_agent_event.register(Drain)
+def on_drain(event: Drain, state: BurstAgentState, _sender: str, now_ms: int) -> None:
+    """Accept nothing more; what runs may finish within the grace."""
+    if state.leaving_ms is None:
+        state.leaving_ms = now_ms
+        state.room_dirty = True
+        fields: dict[str, object] = {"runs": len(state.runs), "reason": event.reason}
+        state.effects.append(LogDecision("draining", fields))
+
+
+def owner_of(state: BurstAgentState, link: str) -> Owner | None:
+    """Return the entry at the other end of a link."""
+    name = state.link_owners.get(link)
+    return state.owners.get(name) if name else None
+
+
+def send_profile(state: BurstAgentState, owner: Owner) -> None:
+    """Tell an entry what the worker is."""
+    if state.total is not None:
+        profile = WorkerProfile(state.service, state.total, state.labels)
+        state.effects.append(Send(owner.link, profile))
+
+
+def send_room(state: BurstAgentState, owner: Owner, now_ms: int) -> None:
+    """Tell an entry the worker's room."""
+    room = WorkerRoom(now_ms, state.free(), state.accepting(), owner.last_order)
+    state.effects.append(Send(owner.link, room))
+
+
+def push_room(state: BurstAgentState, now_ms: int) -> None:
+    """Tell all entries of a change of room."""
+    if not state.room_dirty or now_ms - state.room_flushed_ms < ROOM_GAP_MS:
+        return
+    state.room_dirty = False
+    room = (state.free(), state.accepting())
+    if room == state.room_sent:
+        return
+    state.room_sent = room
+    state.room_flushed_ms = now_ms
+    for owner in state.owners.values():
+        if owner.linked:
+            send_room(state, owner, now_ms)
+
+
+def send_beats(state: BurstAgentState, now_ms: int) -> None:
+    """Send each linked entry a stamp to echo, often while it has runs here."""
+    busy = {run.owner for run in state.runs.values()}
+    for owner in state.owners.values():
+        if not owner.linked or now_ms < owner.next_beat_ms:
+            continue
+        gap_ms = timing.BUSY_BEAT_MS if owner.name in busy else timing.IDLE_BEAT_MS
+        owner.next_beat_ms = now_ms + gap_ms
+        state.effects.append(Send(owner.link, AgentBeat(now_ms)))
+
+
+def check_owners(state: BurstAgentState, now_ms: int) -> None:
+    """Stop the runs of entries that are lost; drop links that are silent."""
+    for owner in list(state.owners.values()):
+        if now_ms > owner.alive_until_ms:
+            stop_runs_of_lost(state, owner, now_ms)
+        if owner.linked and now_ms - owner.heard_ms > timing.IDLE_SILENCE_MS:
+            owner.heard_ms = now_ms
+            log_link(state, "link silent", owner, now_ms)
+            state.effects.append(DropLink(owner.link))
+
+
+def stop_runs_of_lost(state: BurstAgentState, owner: Owner, now_ms: int) -> None:
+    """Answer the loss of an entry: its caller may submit again elsewhere."""
+    live = [run for run in state.runs_of(owner.name) if agent_runs.is_live(run)]
+    if not live:
+        return
+    fields: dict[str, object] = {
+        "entry": owner.name,
+        "runs": len(live),
+        "silent_ms": now_ms - owner.alive_until_ms + timing.SILENCE_MS,
+        "bound_ms": timing.SILENCE_MS,
+    }
+    state.effects.append(LogDecision("entry lost, stopping its runs", fields))
+    state.counters["runs_stopped_entry_lost"] += len(live)
+    for run in live:
+        agent_runs.begin_stop(state, run, "entry lost")
+
+
+def log_link(state: BurstAgentState, event: str, owner: Owner, now_ms: int) -> None:
+    """Log a change of a link."""
+    fields: dict[str, object] = {
+        "entry": owner.name,
+        "address": owner.link,
+        "runs": len(state.runs_of(owner.name)),
+        "heard_ms_ago": now_ms - owner.heard_ms,
+    }
+    state.effects.append(LogDecision(event, fields))
--- /dev/null
+++ b/src/sardineferry/decision/burst/effects.py
@@ -0,0 +1,53 @@
+"""Effects of burst decisions, beside sending a message."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from sardineferry.decision.burst.requests import BurstReply
+from sardineferry.decision.burst.worker import HoldWorker
+from sardineferry.decision.burst.worker import StartRun
+from sardineferry.decision.burst.worker import StopRun
+from sardineferry.decision.effects import Connect
+from sardineferry.decision.effects import Exit
+from sardineferry.decision.effects import Send
+
+__all__ = ["BurstEffect", "DropLink", "LogDecision", "ObserveLatency"]
+
+
+class DropLink(NamedTuple):
+    """End the link of this name; its other end has been silent."""
+
+    name: str
+
+
+class LogDecision(NamedTuple):
+    """Write one structured log line about a decision.
+
+    ``fields`` hold what decided it, with ages in milliseconds.
+    """
+
+    event: str
+    fields: dict[str, object]
+
+
+class ObserveLatency(NamedTuple):
+    """Count the time that a job or a run took, by its outcome."""
+
+    what: str
+    outcome: str
+    elapsed_ms: int
+
+
+BurstEffect = (
+    BurstReply
+    | Connect
+    | DropLink
+    | Exit
+    | HoldWorker
+    | LogDecision
+    | ObserveLatency
+    | Send
+    | StartRun
+    | StopRun
+)
--- /dev/null
+++ b/src/sardineferry/decision/burst/entry_config.py
@@ -0,0 +1,96 @@
+"""The entry's rules on configuration and on leaving."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.pipeline import is_successful
+
+from sardineferry.decision.burst.effects import LogDecision
+from sardineferry.decision.burst.entry_rules import handle_entry_event
+from sardineferry.decision.burst.requests import ConfigurationRead
+from sardineferry.decision.events import AddressesRead
+from sardineferry.decision.events import Drain
+from sardineferry.messages.burst import ConfigOffer
+from sardineferry.messages.burst import ConfigRequest
+from sardineferry.messages.burst import ConfigText
+
+if TYPE_CHECKING:
+    from sardineferry.decision.burst.entry_state import BurstEntryState
+
+__all__ = ["adopt_text"]
+
+
+@handle_entry_event.register(ConfigurationRead)
+def on_configuration_read(
+    event: ConfigurationRead, state: BurstEntryState, _sender: str, _now_ms: int
+) -> None:
+    """Adopt what the platform's store holds."""
+    adopt_text(state, event.text, "store")
+
+
+@handle_entry_event.register(ConfigText)
+def on_config_text(
+    event: ConfigText, state: BurstEntryState, sender: str, _now_ms: int
+) -> None:
+    """Adopt what an agent holds."""
+    adopt_text(state, event.text, sender)
+
+
+def adopt_text(state: BurstEntryState, text: bytes, source: str) -> None:
+    """Adopt a configuration of a higher version; never go back."""
+    if text == state.relay.text:
+        return
+    decoded = state.decode(text)
+    if not is_successful(decoded):
+        fields: dict[str, object] = {"source": source, "error": decoded.failure()}
+        state.effects.append(LogDecision("configuration unreadable", fields))
+        state.counters["configurations_unreadable"] += 1
+        return
+    configuration = decoded.unwrap()
+    held = state.configuration.version
+    if not state.relay.adopt(configuration.version, text):
+        return
+    state.configuration = configuration
+    fields = {
+        "version": configuration.version,
+        "held": held,
+        "source": source,
+        "routes": len(configuration.routes),
+    }
+    state.effects.append(LogDecision("configuration adopted", fields))
+    linked = [view.name for view in state.agents.values() if view.linked]
+    state.effects.extend(state.relay.offers(linked, source))
+
+
+@handle_entry_event.register(ConfigOffer)
+def on_config_offer(
+    event: ConfigOffer, state: BurstEntryState, sender: str, _now_ms: int
+) -> None:
+    """Ask for a newer configuration, or offer ours."""
+    state.effects.extend(state.relay.answer_offer(sender, event.version))
+
+
+@handle_entry_event.register(ConfigRequest)
+def on_config_request(
+    _event: ConfigRequest, state: BurstEntryState, sender: str, _now_ms: int
+) -> None:
+    """Pass our configuration on."""
+    state.effects.extend(state.relay.answer_request(sender))
+
+
+@handle_entry_event.register(AddressesRead)
+def on_addresses(
+    event: AddressesRead, state: BurstEntryState, _sender: str, _now_ms: int
+) -> None:
+    """Learn of the other entries, to tell agents that link to us."""
+    state.addresses = event.addresses
+
+
+@handle_entry_event.register(Drain)
+def on_drain(event: Drain, state: BurstEntryState, _sender: str, now_ms: int) -> None:
+    """Leave: new jobs are taken only if they can end within the grace."""
+    if state.leaving_ms is None:
+        state.leaving_ms = now_ms
+        fields: dict[str, object] = {"jobs": len(state.jobs), "reason": event.reason}
+        state.effects.append(LogDecision("draining", fields))
--- /dev/null
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -0,0 +1,217 @@
+"""The state of an entry that dispatches burst jobs."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+from sardineferry.charts import load_chart
+from sardineferry.decision.burst.admission import DrainRate
+from sardineferry.decision.burst.config_relay import ConfigRelay
+from sardineferry.decision.burst.configuration import NO_CONFIGURATION
+from sardineferry.decision.burst.speed import SpeedBook
+from sardineferry.decision.health import Health
+from sardineferry.messages.burst import Resources
+from sardineferry.messages.burst import RunRef
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from returns.result import Result
+
+    from sardineferry.decision.burst.configuration import Configuration
+    from sardineferry.decision.burst.configuration import Route
+    from sardineferry.decision.burst.effects import BurstEffect
+    from sardineferry.decision.burst.requests import BurstJob
+    from sardineferry.decision.burst.requests import BurstStep
+    from sardineferry.messages.burst import WorkerProfile
+
+__all__ = ["ActiveJob", "ActiveTask", "AgentView", "BurstEntryState", "PlacedRun"]
+
+# Jobs whose highest attempt is remembered after their end.
+ATTEMPTS_KEPT = 4_096
+
+
+class ActiveTask:
+    """One task of an active job."""
+
+    __slots__ = (
+        "agent",
+        "attempt",
+        "failures",
+        "index",
+        "placed_ms",
+        "status",
+        "tried",
+    )
+
+    def __init__(self, index: int, attempt: int) -> None:
+        """Begin waiting; attempts up to ``attempt`` were used before."""
+        self.index = index
+        self.status = load_chart("burst_task").initial
+        self.attempt = attempt
+        self.agent = ""
+        self.placed_ms = 0
+        self.failures = 0
+        # Agents at which a run failed or was lost.
+        self.tried: set[str] = set()
+
+    def advance(self, event: str) -> None:
+        """Move along the chart."""
+        self.status = load_chart("burst_task").advance(self.status, event)
+
+
+class ActiveJob:
+    """A job whose caller waits."""
+
+    def __init__(
+        self, job: BurstJob, route: Route, token: int, now_ms: int, attempt: int
+    ) -> None:
+        """Begin with all tasks waiting; earlier attempts end at ``attempt``."""
+        self.job = job
+        self.route = route
+        self.tokens = {token}
+        self.arrived_ms = now_ms
+        self.attempt = attempt
+        self.goal_ms = goal_of(route, self.step)
+        self.give_up_ms = 0
+        self.tasks = [ActiveTask(index, attempt) for index in range(self.step.tasks)]
+        # True once a worker has begun, or may have begun, any task.
+        self.begun = False
+
+    @property
+    def step(self) -> BurstStep:
+        """The job's only step."""
+        return self.job.steps[0]
+
+    @property
+    def started(self) -> bool:
+        """Tell whether a task has begun, or may begin by an order."""
+        return self.begun or any(task.status != "waiting" for task in self.tasks)
+
+    def waiting(self) -> list[ActiveTask]:
+        """Return the tasks that are to be placed."""
+        return [task for task in self.tasks if task.status == "waiting"]
+
+    def work_waiting(self) -> float:
+        """Return the work (thousandths of a core times ms) yet to be placed."""
+        step = self.step
+        return len(self.waiting()) * step.need.cpu * step.estimate_ms
+
+    def ref(self, task: ActiveTask) -> RunRef:
+        """Return the name of a task's present run."""
+        return RunRef(f"{self.job.job_id}.0.0.{task.index}", task.attempt)
+
+
+def goal_of(route: Route, step: BurstStep) -> float:
+    """Return a job's response-time goal by its estimate."""
+    return route.slack_factor * step.estimate_ms + route.goal_ms
+
+
+class PlacedRun:
+    """A run that was ordered of an agent."""
+
+    __slots__ = ("job", "order", "task")
+
+    def __init__(self, job: ActiveJob, task: ActiveTask, order: int) -> None:
+        """Name the task and the order that asked for it."""
+        self.job = job
+        self.task = task
+        self.order = order
+
+
+class AgentView:
+    """What the entry knows of an agent and its worker."""
+
+    def __init__(self, name: str, data_centre: str) -> None:
+        """Begin unlinked."""
+        self.name = name
+        self.data_centre = data_centre
+        self.incarnation = ""
+        self.linked = False
+        self.profile: WorkerProfile | None = None
+        self.free = Resources()
+        self.accepting = False
+        # Room taken by orders that the agent's last push did not know.
+        self.reserved: dict[int, Resources] = {}
+        # The agent's newest stamp, and when it was heard by our clock.
+        self.stamp_ms = 0
+        self.stamp_heard_ms = 0
+        self.heard_ms = 0
+        self.runs: dict[RunRef, PlacedRun] = {}
+        # Runs of an earlier incarnation, which may still be at the worker.
+        self.orphans: dict[RunRef, PlacedRun] = {}
+        self.orphans_gone_ms = 0
+        self.health = Health()
+
+    def room(self) -> Resources:
+        """Return the room left by the last push and later orders."""
+        room = self.free
+        for need in self.reserved.values():
+            room = room.minus(need)
+        return room
+
+    def note_stamp(self, stamp_ms: int, now_ms: int) -> None:
+        """Take a stamp of the agent's clock."""
+        self.heard_ms = now_ms
+        if stamp_ms > self.stamp_ms:
+            self.stamp_ms = stamp_ms
+            self.stamp_heard_ms = now_ms
+
+    def kind(self) -> str:
+        """Return the worker's kind: its first label."""
+        if self.profile is None or not self.profile.labels:
+            return ""
+        return self.profile.labels[0]
+
+
+class BurstEntryState:
+    """All that the entry's rules read and change."""
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: str,
+        data_centre: str,
+        grace_ms: int,
+        decode: Callable[[bytes], Result[Configuration, str]],
+        random: Random,
+    ) -> None:
+        """Begin without a configuration, agents or jobs."""
+        self.name = name
+        self.incarnation = incarnation
+        self.data_centre = data_centre
+        self.grace_ms = grace_ms
+        self.decode = decode
+        self.random = random
+        self.effects: list[BurstEffect] = []
+        self.counters: Counter[str] = Counter()
+        self.relay = ConfigRelay()
+        self.configuration = NO_CONFIGURATION
+        self.addresses: tuple[str, ...] = ()
+        self.agents: dict[str, AgentView] = {}
+        self.jobs: dict[str, ActiveJob] = {}
+        self.token_jobs: dict[int, str] = {}
+        self.queue: list[ActiveJob] = []
+        self.attempts: OrderedDict[str, int] = OrderedDict()
+        self.speeds = SpeedBook()
+        self.drain_rate = DrainRate()
+        self.next_order = 1
+        self.started_ms: int | None = None
+        self.leaving_ms: int | None = None
+
+    def remember_attempt(self, job: ActiveJob) -> None:
+        """Keep the highest attempt, in case the job is submitted again."""
+        self.attempts[job.job.job_id] = job.attempt
+        while len(self.attempts) > ATTEMPTS_KEPT:
+            self.attempts.popitem(last=False)
+
+    def ready(self) -> bool:
+        """Tell whether new connections may come."""
+        return (
+            self.leaving_ms is None
+            and self.configuration.version >= 0
+            and any(view.linked and view.accepting for view in self.agents.values())
+        )
--- a/src/sardineferry/decision/events.py
+++ b/src/sardineferry/decision/events.py
@@ -9,6 +9,7 @@
 from sardineferry.messages.job import TaskResult
 
 __all__ = [
+    "AddressesRead",
     "AppendFailed",
     "CancelJob",
     "Drain",
@@ -91,6 +92,12 @@
     name: str
 
 
+class AddressesRead(NamedTuple):
+    """Link addresses of entries, as read from the platform's store."""
+
+    addresses: tuple[str, ...]
+
+
 class LogRecord(NamedTuple):
     """One record of a log stream."""
 
--- a/src/sardineferry/http_server.py
+++ b/src/sardineferry/http_server.py
@@ -15,6 +15,11 @@
 __all__ = ["HttpError", "HttpServer"]
 
 BACKLOG = 1_024
+# Connections without traffic are closed after this.
+IDLE_TIMEOUT_S = 120
+HEADER_LIMIT_BYTES = 256 * 1024
+# Between looks for idle connections.
+CLEANUP_INTERVAL_S = 5
 
 logger = part_logger("http")
 
@@ -27,10 +32,21 @@
     """A waitress server with a bounded number of threads."""
 
     def __init__(
-        self, application: WSGIApplication, address: str, threads: int, body_limit: int
+        self,
+        application: WSGIApplication,
+        address: str,
+        threads: int,
+        body_limit: int,
+        *,
+        watch_callers: bool = False,
+        idle_timeout_s: int = IDLE_TIMEOUT_S,
+        header_limit: int = HEADER_LIMIT_BYTES,
     ) -> None:
         """Bind the address; port 0 lets the system choose.
 
+        ``watch_callers`` lets an application learn that a caller has closed
+        its connection while it waits.
+
         Raises:
             HttpError: The address can't be bound.
 
@@ -47,6 +63,13 @@
                 backlog=BACKLOG,
                 ident=None,
                 clear_untrusted_proxy_headers=True,
+                # Reads one request ahead, which shows a closed connection.
+                channel_request_lookahead=int(watch_callers),
+                channel_timeout=idle_timeout_s,
+                cleanup_interval=CLEANUP_INTERVAL_S,
+                max_request_header_size=header_limit,
+                # select() can't serve descriptors above 1,023.
+                asyncore_use_poll=True,
             )
         except OSError as error:
             raise HttpError(f"cannot listen on {address}: {error}") from error
--- /dev/null
+++ b/src/sardineferry/messages/burst.py
@@ -0,0 +1,226 @@
+"""Messages of burst jobs, between entries and the agents of workers.
+
+Times of an agent's steady clock travel in both directions: an agent stamps
+what it sends, and an entry echoes the newest stamp. So the agent can tell how
+old an order or a sign of life is, whatever the network did to it.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+__all__ = [
+    "ENDED_DONE",
+    "ENDED_FAILED",
+    "ENDED_LOST",
+    "ENDED_REFUSED",
+    "AgentBeat",
+    "BurstMessage",
+    "ConfigOffer",
+    "ConfigRequest",
+    "ConfigText",
+    "EntryBeat",
+    "EntryLeft",
+    "EntryWelcome",
+    "HeldRuns",
+    "Resources",
+    "RunEnded",
+    "RunRef",
+    "StartRuns",
+    "StopRuns",
+    "WorkerAnnounce",
+    "WorkerProfile",
+    "WorkerRoom",
+]
+
+ENDED_DONE = "done"
+ENDED_FAILED = "failed"
+# The run ended without an outcome: stopped, lapsed, or gone with its worker.
+ENDED_LOST = "lost"
+# The run was never started.
+ENDED_REFUSED = "refused"
+
+
+class Resources(NamedTuple):
+    """Processors in thousandths of a core, memory in MB, and accelerators."""
+
+    cpu: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def plus(self, other: Resources) -> Resources:
+        """Return the sum."""
+        return Resources(
+            self.cpu + other.cpu,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def minus(self, other: Resources) -> Resources:
+        """Return the difference, which may be negative."""
+        return Resources(
+            self.cpu - other.cpu,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def times(self, count: int) -> Resources:
+        """Return the need of ``count`` such tasks."""
+        return Resources(
+            self.cpu * count, self.memory_mb * count, self.accelerators * count
+        )
+
+    def holds(self, need: Resources) -> bool:
+        """Tell whether the need fits."""
+        return (
+            need.cpu <= self.cpu
+            and need.memory_mb <= self.memory_mb
+            and need.accelerators <= self.accelerators
+        )
+
+
+class RunRef(NamedTuple):
+    """One run of a task; ``attempt`` rises with each start of the task."""
+
+    task: str
+    attempt: int
+
+
+class WorkerAnnounce(NamedTuple):
+    """Agent to entry, first on a link; ``incarnation`` changes per restart."""
+
+    agent: str
+    incarnation: str
+    data_centre: str
+
+
+class EntryWelcome(NamedTuple):
+    """Entry to agent: answers an announcement.
+
+    ``profile`` is what the entry last knew of the agent's worker, so that an
+    agent that has just restarted need not wait for the worker's heartbeat.
+    """
+
+    entry: str
+    incarnation: str
+    profile: WorkerProfile | None
+    addresses: tuple[str, ...]
+
+
+class WorkerProfile(NamedTuple):
+    """Agent to entry: what its worker is; sent when that changes."""
+
+    service: str
+    total: Resources
+    labels: tuple[str, ...]
+
+
+class WorkerRoom(NamedTuple):
+    """Agent to entry: room of its worker at a time of the agent's clock.
+
+    ``last_order`` is the number of the newest order of this entry that
+    ``free`` takes into account.
+    """
+
+    sent_at_ms: int
+    free: Resources
+    accepting: bool
+    last_order: int
+
+
+class AgentBeat(NamedTuple):
+    """Agent to entry: a sign of life, to be echoed."""
+
+    sent_at_ms: int
+
+
+class EntryBeat(NamedTuple):
+    """Entry to agent: echoes the agent's newest stamp."""
+
+    echo_ms: int
+
+
+class StartRuns(NamedTuple):
+    """Entry to agent: start runs of one job that have the same needs.
+
+    The order is void after ``expires_ms`` on the agent's clock. ``estimate_ms``
+    is the submitter's estimate of one task's run time.
+    """
+
+    order: int
+    expires_ms: int
+    runs: tuple[RunRef, ...]
+    spec: str
+    need: Resources
+    estimate_ms: int
+
+
+class StopRuns(NamedTuple):
+    """Entry to agent: stop runs and report their ends."""
+
+    runs: tuple[RunRef, ...]
+
+
+class RunEnded(NamedTuple):
+    """Agent to entry: how a run ended, one of the ``ENDED_`` words.
+
+    ``run_ms`` is the time from start to end, 0 if there was none.
+    """
+
+    run: RunRef
+    how: str
+    run_ms: int
+    reason: str
+
+
+class HeldRuns(NamedTuple):
+    """Agent to entry, after a link opened: all that it runs for the entry.
+
+    A run that is neither here nor reported as ended is gone.
+    """
+
+    runs: tuple[RunRef, ...]
+    last_order: int
+
+
+class EntryLeft(NamedTuple):
+    """Entry to agent: the entry ends; its address need not be dialled soon."""
+
+    entry: str
+
+
+class ConfigOffer(NamedTuple):
+    """Either way: the version of the configuration that the sender holds."""
+
+    version: int
+
+
+class ConfigRequest(NamedTuple):
+    """Either way: asks for the configuration that was offered."""
+
+    version: int
+
+
+class ConfigText(NamedTuple):
+    """Either way: a configuration as the operator wrote it."""
+
+    version: int
+    text: bytes
+
+
+BurstMessage = (
+    AgentBeat
+    | ConfigOffer
+    | ConfigRequest
+    | ConfigText
+    | EntryBeat
+    | EntryLeft
+    | EntryWelcome
+    | HeldRuns
+    | RunEnded
+    | StartRuns
+    | StopRuns
+    | WorkerAnnounce
+    | WorkerProfile
+    | WorkerRoom
+)
--- a/src/sardineferry/messages/wire.py
+++ b/src/sardineferry/messages/wire.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from sardineferry.messages.burst import BurstMessage
 from sardineferry.messages.job import Attempt
 from sardineferry.messages.job import Job
 from sardineferry.messages.job import JobAnswer
@@ -239,4 +240,5 @@
     | Revoke
     | Start
     | Welcome
+    | BurstMessage
 )
--- a/src/sardineferry/platform/__init__.py
+++ b/src/sardineferry/platform/__init__.py
@@ -1,9 +1,10 @@
-"""Access to the platform's append-only log."""
+"""What the platform speaks: names, formats and calls; nothing here decides."""
 
 from __future__ import annotations
 
-from sardineferry.platform.client import LogClient
-from sardineferry.platform.client import LogError
+from sardineferry.platform.log import LogClient
+from sardineferry.platform.store import StoreClient
+from sardineferry.platform.store import StoreError
 from sardineferry.platform.tail import LogTail
 
-__all__ = ["LogClient", "LogError", "LogTail"]
+__all__ = ["LogClient", "LogTail", "StoreClient", "StoreError"]
--- a/src/sardineferry/platform/tail.py
+++ b/src/sardineferry/platform/tail.py
@@ -10,8 +10,7 @@
 
 from sardineferry.decision.events import AppendFailed
 from sardineferry.logs import part_logger
-from sardineferry.platform.client import READ_LIMIT
-from sardineferry.platform.client import LogClient
+from sardineferry.platform.log import LogClient
 
 if TYPE_CHECKING:
     from sardineferry.decision.effects import Append
@@ -72,24 +71,24 @@
 
     def read_all(self) -> None:
         """Read up to the end of the stream."""
-        while self.read_some() >= READ_LIMIT:
+        while self.read_some():
             pass
 
-    def read_some(self) -> int:
-        """Read once and return the number of records."""
-        result = self.client.read(self.stream, self.position)
+    def read_some(self) -> bool:
+        """Read once; tell whether more can be read."""
+        result = self.client.read_page(self.stream, self.position)
         if not is_successful(result):
             if self.healthy:
                 reason = result.failure().reason
                 logger.warning("Reading {} fails: {}.", self.stream, reason)
             self.healthy = False
-            return 0
+            return False
         if not self.healthy:
             logger.info("Reading {} works again.", self.stream)
         self.healthy = True
-        batch = result.unwrap()
+        batch, more = result.unwrap()
         if batch.records:
             self.position = batch.records[-1].offset + 1
         # An empty read tells the core that it knows all there is.
         self.mailbox.put(batch)
-        return len(batch.records)
+        return more
--- a/src/sardineferry/settings/__init__.py
+++ b/src/sardineferry/settings/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from sardineferry.settings.agent import AgentSettings
+from sardineferry.settings.deployment import DeploymentSettings
 from sardineferry.settings.entry import EntrySettings
 from sardineferry.settings.loader import SettingsError
 from sardineferry.settings.loader import check_settings
@@ -11,6 +12,7 @@
 
 __all__ = [
     "AgentSettings",
+    "DeploymentSettings",
     "EntrySettings",
     "SettingsError",
     "check_settings",
--- a/src/sardineferry/signals.py
+++ b/src/sardineferry/signals.py
@@ -13,19 +13,30 @@
 
 
 class SignalWatch:
-    """Waits for SIGTERM or SIGINT; SIGUSR1 prints the state.
+    """Waits for SIGTERM or SIGINT; SIGUSR1 prints the state, SIGHUP reloads.
 
     Handlers only put into a queue, which is safe within a signal handler.
     """
 
-    def __init__(self, print_state: Callable[[], None]) -> None:
-        """Name what prints the state."""
+    def __init__(
+        self,
+        print_state: Callable[[], None],
+        reload: Callable[[], None] | None = None,
+    ) -> None:
+        """Name what prints the state, and what reads the settings again.
+
+        Without the latter SIGHUP keeps its effect, which is to end.
+        """
         self.print_state = print_state
+        self.reload = reload
         self.received: queue.SimpleQueue[int] = queue.SimpleQueue()
 
     def install(self) -> None:
         """Install the handlers; only the main thread may do so."""
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+        numbers = [signal.SIGTERM, signal.SIGINT, signal.SIGUSR1]
+        if self.reload is not None:
+            numbers.append(signal.SIGHUP)
+        for number in numbers:
             signal.signal(number, lambda received, _: self.received.put(received))
 
     def wait_for_drain(self, timeout_s: float) -> bool:
@@ -37,4 +48,7 @@
         if number == signal.SIGUSR1:
             self.print_state()
             return False
+        if number == signal.SIGHUP and self.reload is not None:
+            self.reload()
+            return False
         return True
--- a/src/sardineferry/standin/log.py
+++ b/src/sardineferry/standin/log.py
@@ -1,17 +1,20 @@
-"""A stand-in for the platform's append-only log.
+"""A stand-in for the platform's metadata store, as its published protocol says.
 
 Faults are set by ``POST /faults`` with any of ``outage`` (refuses all),
 ``slow_ms`` (delays all), ``lose_answers`` (the next appends act but answer
-with an error) and ``retention`` (records kept per stream).
+with an error) and ``retention`` (records kept per topic).
 """
 
 from __future__ import annotations
 
+import base64
+import struct
 import threading
 import time
-from collections import defaultdict
 from typing import TypedDict
 
+import msgspec
+
 from sardineferry.standin.web import Request
 from sardineferry.standin.web import Response
 from sardineferry.standin.web import WebStandin
@@ -20,6 +23,12 @@
 
 APPENDS_PER_S = 500
 SYNC_MS = 4
+PAGE_KEYS = 500
+READ_LIMIT_BYTES = 1024 * 1024
+POLL_S = 0.005
+LENGTH = struct.Struct(">I")
+OFFSETS = struct.Struct(">QQ")
+KEYED_PREFIX = "keyed."
 
 
 class LogFaults(TypedDict):
@@ -31,22 +40,43 @@
     retention: int
 
 
-class StoredRecord(TypedDict):
-    """One record."""
+class Topic:
+    """Records of one topic's only partition, and the newest of each key."""
 
-    offset: int
-    record_id: str
-    body: str
+    def __init__(self) -> None:
+        """Start empty."""
+        self.first = 0
+        self.records: list[bytes] = []
+        self.newest: dict[str, tuple[bytes, int]] = {}
+
+    @property
+    def end(self) -> int:
+        """The offset of the next record."""
+        return self.first + len(self.records)
+
+    def append(self, record: bytes, keyed: bool) -> None:
+        """Add a record."""
+        if keyed:
+            key = record[1 : 1 + record[0]].decode()
+            value = record[1 + record[0] :]
+            self.newest.pop(key, None)
+            if value:
+                self.newest[key] = (value, self.end)
+        self.records.append(record)
+
+    def drop(self, count: int) -> None:
+        """Delete the oldest records."""
+        del self.records[:count]
+        self.first += count
 
 
 class LogStandin(WebStandin):
-    """Streams of records in memory, with a limited append rate."""
+    """Topics in memory, with a limited append rate."""
 
     def __init__(self) -> None:
         """Start without records or faults."""
         self.lock = threading.Lock()
-        self.streams: dict[str, list[StoredRecord]] = defaultdict(list)
-        self.next_offsets: dict[str, int] = defaultdict(int)
+        self.topics: dict[str, Topic] = {}
         self.appends = 0
         self.window_s = 0
         self.window_appends = 0
@@ -63,34 +93,40 @@
             case "GET", ("stats",):
                 return Response(200, {"appends": self.appends})
         if self.faults["outage"]:
-            return Response(503, {"error": "outage"})
+            return Response(503, {"Error": "outage"})
         time.sleep(self.faults["slow_ms"] / 1_000)
         match request.method, request.parts:
-            case "POST", ("streams", stream, "records"):
-                return self.append(stream, request.body)
-            case "GET", ("streams", stream, "records"):
-                return self.read(stream, request.query)
-        return Response(404, {"error": "no such path"})
-
-    def append(self, stream: str, body: dict[str, str]) -> Response:
-        """Append a record, after the time that a synced write takes."""
+            case "POST", ("v1", "log-append"):
+                return self.append(request.text_query["Topic"], request.raw)
+            case "GET", ("v1", "log-read"):
+                return self.read(request.text_query)
+            case "GET", ("v1", "log-newest"):
+                return self.newest(request.text_query)
+        return Response(404, {"Error": "no such path"})
+
+    def topic(self, name: str) -> Topic:
+        """Return a topic, created on first use."""
+        return self.topics.setdefault(name, Topic())
+
+    def append(self, name: str, body: bytes) -> Response:
+        """Append records, after the time that a synced write takes."""
         if not self.take_append():
-            return Response(429, {"error": "too many appends"})
+            return Response(429, {"Error": "too many appends"})
         time.sleep(SYNC_MS / 1_000)
+        records = split_records(body)
         with self.lock:
-            offset = self.next_offsets[stream]
-            self.next_offsets[stream] += 1
-            records = self.streams[stream]
-            records.append(
-                StoredRecord(offset=offset, record_id=body["id"], body=body["body"])
-            )
-            del records[: max(0, len(records) - self.faults["retention"])]
+            topic = self.topic(name)
+            offset = topic.end
+            for record in records:
+                topic.append(record, name.startswith(KEYED_PREFIX))
+            topic.drop(max(0, len(topic.records) - self.faults["retention"]))
             self.appends += 1
             lost = self.faults["lose_answers"] > 0
             self.faults["lose_answers"] -= 1 if lost else 0
+            end = topic.end
         if lost:
-            return Response(504, {"error": "answer lost"})
-        return Response(200, {"offset": offset})
+            return Response(504, {"Error": "answer lost"})
+        return Response(200, {"Offset": offset, "EndOffset": end})
 
     def take_append(self) -> bool:
         """Count an append against the rate of the present second."""
@@ -102,14 +138,63 @@
             self.window_appends += 1
             return self.window_appends <= APPENDS_PER_S
 
-    def read(self, stream: str, query: dict[str, int]) -> Response:
-        """Read records from an offset on."""
-        start = query.get("from", 0)
-        limit = query.get("limit", 500)
+    def read(self, query: dict[str, str]) -> Response:
+        """Read records from an offset on, waiting for the first one."""
+        start = int(query["From"])
+        until_s = time.monotonic() + int(query.get("WaitMs", "0")) / 1_000
+        while True:
+            with self.lock:
+                topic = self.topic(query["Topic"])
+                if start < topic.first:
+                    return Response(410, {"FirstOffset": topic.first})
+                if start < topic.end or time.monotonic() >= until_s:
+                    return Response(200, encode_read(topic, start))
+            time.sleep(POLL_S)
+
+    def newest(self, query: dict[str, str]) -> Response:
+        """Return a page of the newest value of each key."""
+        after = query.get("After", "")
+        with self.lock:
+            topic = self.topic(query["Topic"])
+            keys = sorted(key for key in topic.newest if key > after)
+            items = [
+                {
+                    "Key": key,
+                    "Value": base64.b64encode(topic.newest[key][0]).decode(),
+                    "Offset": topic.newest[key][1],
+                }
+                for key in keys[:PAGE_KEYS]
+            ]
+            more = len(keys) > PAGE_KEYS
+            page = {"items": items, "HasMore": more, "EndOffset": topic.end}
+        return Response(200, page)
+
+    def put_key(self, name: str, key: str, value: object) -> None:
+        """Write a key as the operator does."""
+        raw = bytes([len(key)]) + key.encode() + msgspec.json.encode(value)
         with self.lock:
-            records = self.streams[stream]
-            first = records[0]["offset"] if records else self.next_offsets[stream]
-            skipped = max(0, start - first)
-            found = records[skipped : skipped + limit]
-        rows = [[item["offset"], item["record_id"], item["body"]] for item in found]
-        return Response(200, {"first_offset": first, "records": rows})
+            self.topic(name).append(raw, keyed=True)
+
+
+def split_records(body: bytes) -> list[bytes]:
+    """Split the body of an append."""
+    records = []
+    position = 0
+    while position < len(body):
+        (length,) = LENGTH.unpack_from(body, position)
+        position += LENGTH.size
+        records.append(body[position : position + length])
+        position += length
+    return records
+
+
+def encode_read(topic: Topic, start: int) -> bytes:
+    """Encode records from an offset on, up to the limit of one read."""
+    parts = [OFFSETS.pack(topic.end, topic.first)]
+    size = 0
+    for record in topic.records[start - topic.first :]:
+        size += LENGTH.size + len(record)
+        if size > READ_LIMIT_BYTES:
+            break
+        parts.append(LENGTH.pack(len(record)) + record)
+    return b"".join(parts)
--- a/src/sardineferry/standin/web.py
+++ b/src/sardineferry/standin/web.py
@@ -1,4 +1,4 @@
-"""A small JSON-over-HTTP base for stand-ins."""
+"""A small HTTP base for stand-ins; bodies are JSON or raw bytes."""
 
 from __future__ import annotations
 
@@ -19,16 +19,22 @@
 
 
 class Request(NamedTuple):
-    """A request with its JSON body and query."""
+    """A request; its body is decoded when asked for."""
 
     method: str
     parts: tuple[str, ...]
-    query: dict[str, int]
-    body: Any
+    text_query: dict[str, str]
+    raw: bytes
+    headers: dict[str, str]
+
+    @property
+    def body(self) -> Any:
+        """The body as JSON; None without a body."""
+        return msgspec.json.decode(self.raw) if self.raw else None
 
 
 class Response(NamedTuple):
-    """A status and a JSON body."""
+    """A status and a body, which is JSON unless it is bytes."""
 
     status: int
     body: object
@@ -50,15 +56,24 @@
         self, environ: WSGIEnvironment, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Decode, serve and encode."""
-        text = environ["wsgi.input"].read()
+        raw = environ["wsgi.input"].read()
         query = {
-            name: int(values[0])
+            name: values[0]
             for name, values in parse_qs(environ.get("QUERY_STRING", "")).items()
         }
         parts = tuple(part for part in environ["PATH_INFO"].split("/") if part)
-        body = msgspec.json.decode(text) if text else None
-        response = self.serve(Request(environ["REQUEST_METHOD"], parts, query, body))
-        encoded = msgspec.json.encode(response.body)
+        headers = {
+            name.removeprefix("HTTP_").replace("_", "-").lower(): value
+            for name, value in environ.items()
+            if name.startswith("HTTP_")
+        }
+        request = Request(environ["REQUEST_METHOD"], parts, query, raw, headers)
+        response = self.serve(request)
+        encoded = (
+            response.body
+            if isinstance(response.body, bytes)
+            else msgspec.json.encode(response.body)
+        )
         start_response(
             f"{response.status} Status",
             [
--- a/src/sardineferry/transport/dialer.py
+++ b/src/sardineferry/transport/dialer.py
@@ -4,6 +4,7 @@
 
 import threading
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 import grpc
 
@@ -23,21 +24,33 @@
     from sardineferry.mailbox import Mailbox
     from sardineferry.transport.registry import LinkRegistry
 
-__all__ = ["Dialer"]
+__all__ = ["Dialer", "Redial"]
 
-CONNECT_TIMEOUT_S = 2.0
 JOIN_TIMEOUT_S = 3.0
 
 logger = part_logger("dialer")
 
 
+class Redial(NamedTuple):
+    """How long a connection may take to open, and to wait between tries."""
+
+    connect_timeout_s: float = 2.0
+    delay_cap_ms: int = 1_000
+
+
 class Dialer:
     """A thread that owns the link to one address."""
 
     def __init__(
-        self, address: str, mailbox: Mailbox, links: LinkRegistry, random: Random
+        self,
+        address: str,
+        mailbox: Mailbox,
+        links: LinkRegistry,
+        random: Random,
+        redial: Redial = Redial(),  # noqa: B008
     ) -> None:
         """Name the address, which also names the link."""
+        self.redial = redial
         self.address = address
         self.mailbox = mailbox
         self.links = links
@@ -63,14 +76,14 @@
         while not self.stopped.is_set():
             connected = self.connect()
             failures = 0 if connected else failures + 1
-            delay_s = backoff_ms(failures) / 1_000
+            delay_s = min(backoff_ms(failures), self.redial.delay_cap_ms) / 1_000
             self.stopped.wait(delay_s * self.random.uniform(0.5, 1.0))
 
     def connect(self) -> bool:
         """Hold one connection until it ends; tell whether it was made."""
         with grpc.insecure_channel(self.address, options=CHANNEL_OPTIONS) as channel:
             try:
-                grpc.channel_ready_future(channel).result(CONNECT_TIMEOUT_S)
+                grpc.channel_ready_future(channel).result(self.redial.connect_timeout_s)
             except grpc.FutureTimeoutError:
                 return False
             self.exchange(channel)
@@ -85,6 +98,7 @@
         method: grpc.StreamStreamMultiCallable[bytes, bytes]
         method = channel.stream_stream(METHOD_PATH)
         stream = method(outbox.drain())
+        outbox.abort = stream.cancel
         try:
             for frame in stream:
                 self.mailbox.put_all(decode_frame(frame), self.address)
--- a/src/sardineferry/transport/dialer_pool.py
+++ b/src/sardineferry/transport/dialer_pool.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sardineferry.transport.dialer import Dialer
+from sardineferry.transport.dialer import Redial
 
 if TYPE_CHECKING:
     from random import Random
@@ -18,8 +19,15 @@
 class DialerPool:
     """Keeps links to a changing set of addresses open."""
 
-    def __init__(self, mailbox: Mailbox, links: LinkRegistry, random: Random) -> None:
+    def __init__(
+        self,
+        mailbox: Mailbox,
+        links: LinkRegistry,
+        random: Random,
+        redial: Redial = Redial(),  # noqa: B008
+    ) -> None:
         """Start without dialers."""
+        self.redial = redial
         self.mailbox = mailbox
         self.links = links
         self.random = random
@@ -29,7 +37,7 @@
         """Open a link to an entry and keep it open."""
         if address in self.dialers:
             return
-        dialer = Dialer(address, self.mailbox, self.links, self.random)
+        dialer = Dialer(address, self.mailbox, self.links, self.random, self.redial)
         self.dialers[address] = dialer
         dialer.start()
 
--- a/src/sardineferry/transport/listener.py
+++ b/src/sardineferry/transport/listener.py
@@ -12,6 +12,7 @@
 from sardineferry.logs import part_logger
 from sardineferry.messages import CodecError
 from sardineferry.messages import decode_frame
+from sardineferry.messages.burst import WorkerAnnounce
 from sardineferry.messages.wire import Announce
 from sardineferry.messages.wire import PeerHello
 from sardineferry.transport.outbox import Outbox
@@ -84,6 +85,7 @@
             logger.warning("Rejected a link: {}.", error)
             context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
         outbox = Outbox()
+        outbox.abort = context.cancel
         self.links.open(name, outbox)
         self.mailbox.put_all(messages, name)
         reader = threading.Thread(
@@ -131,6 +133,8 @@
     first = messages[0] if messages else None
     if isinstance(first, Announce):
         return first.agent
+    if isinstance(first, WorkerAnnounce):
+        return first.agent
     if isinstance(first, PeerHello):
         return f"entry/{first.entry}"
     raise CodecError("the first message must be an announcement or a greeting")
--- a/src/sardineferry/transport/outbox.py
+++ b/src/sardineferry/transport/outbox.py
@@ -9,6 +9,7 @@
 from sardineferry.messages import encode_frame
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
 
     from sardineferry.messages import WireMessage
@@ -29,6 +30,8 @@
         self.frames = 0
         self.bytes = 0
         self.next_frame_s = 0.0
+        # Ends the stream at once, without what is queued.
+        self.abort: Callable[[], object] = self.close
 
     def put(self, messages: list[WireMessage]) -> bool:
         """Queue messages; false means that the link is too far behind."""
--- a/src/sardineferry/transport/registry.py
+++ b/src/sardineferry/transport/registry.py
@@ -51,6 +51,13 @@
         outbox.close()
         return False
 
+    def abort(self, name: str) -> None:
+        """End a link whose other end is silent."""
+        outbox = self.outboxes.get(name)
+        if outbox is not None:
+            outbox.close()
+            outbox.abort()
+
     def close_all(self) -> None:
         """End every link after what is queued."""
         with self.lock:
