Answer on connections that stay open while an entry leaves, then end

After SIGTERM each answer was a 500, since waitress rejects an application's Connection header; and the process lived on until SIGKILL, as the link server's threads kept it. Ruled out: the drain's own bounds (the core had ended at 3.9 s of 6). The server now closes connections itself, and the process stops its servers.

--- a/src/sardineferry/burst/entry.py
+++ b/src/sardineferry/burst/entry.py
@@ -85,10 +85,14 @@
     def drain(self) -> None:
         """Finish what is in flight within the grace, then stop."""
         parts = self.parts
-        parts.application.leaving = True
+        parts.callers.leave()
         parts.mailbox.put(Drain("signal"))
         self.loop.exited.wait(parts.settings_watch.settings.grace_ms / 1_000)
         time.sleep(FLUSH_S)
+        parts.callers.stop()
+        parts.readiness.stop()
+        parts.links.close_all()
+        parts.listener.stop()
         logger.info("Stopped.")
         time.sleep(FLUSH_S)
 
--- a/src/sardineferry/burst/parts.py
+++ b/src/sardineferry/burst/parts.py
@@ -18,7 +18,7 @@
 from sardineferry.transport import Listener
 from sardineferry.transport.registry import LinkRegistry
 
-__all__ = ["AgentParts", "EntryParts", "Leaving", "Startable"]
+__all__ = ["AgentParts", "EntryParts", "Startable"]
 
 
 class Startable(Protocol):
@@ -28,12 +28,6 @@
         """Start the thread."""
 
 
-class Leaving(Protocol):
-    """An application that asks callers to close while the process leaves."""
-
-    leaving: bool
-
-
 class EntryParts(NamedTuple):
     """What an entry is built of."""
 
@@ -41,7 +35,6 @@
     mailbox: Mailbox
     links: LinkRegistry
     listener: Listener
-    application: Leaving
     waiting: WaitingRequests[BurstReply]
     callers: HttpServer
     readiness: HttpServer
--- a/src/sardineferry/deployment.py
+++ b/src/sardineferry/deployment.py
@@ -129,7 +129,6 @@
         mailbox=mailbox,
         links=links,
         listener=Listener(settings.links, mailbox, links),
-        application=application,
         waiting=waiting,
         callers=HttpServer(
             application,
--- a/src/sardineferry/http_server.py
+++ b/src/sardineferry/http_server.py
@@ -5,7 +5,9 @@
 import threading
 from typing import TYPE_CHECKING
 
+import waitress.channel
 import waitress.server
+import waitress.task
 
 from sardineferry.logs import part_logger
 
@@ -28,6 +30,23 @@
     """The address can't be listened on."""
 
 
+class ClosingTask(waitress.task.WSGITask):
+    """Answers a request, with the last word on its connection."""
+
+    def build_response_header(self) -> bytes:
+        """Ask the caller to close the connection while the server leaves."""
+        if self.channel.server.leaving:  # type: ignore[attr-defined]
+            self.set_close_on_finish()
+        header: bytes = super().build_response_header()
+        return header
+
+
+class ClosingChannel(waitress.channel.HTTPChannel):
+    """A connection whose answers are given by closing tasks."""
+
+    task_class = ClosingTask
+
+
 class HttpServer:
     """A waitress server with a bounded number of threads."""
 
@@ -73,6 +92,8 @@
             )
         except OSError as error:
             raise HttpError(f"cannot listen on {address}: {error}") from error
+        self.server.leaving = False  # type: ignore[union-attr]
+        self.server.channel_class = ClosingChannel  # type: ignore[union-attr]
         self.port: int = self.server.effective_port  # type: ignore[union-attr]
         self.thread = threading.Thread(target=self.run, name="http", daemon=True)
 
@@ -87,6 +108,10 @@
         except OSError as error:
             logger.debug("HTTP server ended: {}.", error)
 
+    def leave(self) -> None:
+        """Close each connection with its next answer."""
+        self.server.leaving = True  # type: ignore[union-attr]
+
     def stop(self) -> None:
         """Stop accepting and end."""
         self.server.close()
--- a/src/sardineferry/platform/callers.py
+++ b/src/sardineferry/platform/callers.py
@@ -172,7 +172,6 @@
         self.waiting = waiting
         self.waiting_limit = waiting_limit
         self.limits = limits
-        self.leaving = False
 
     def __call__(
         self, environ: WSGIEnvironment, start_response: StartResponse
@@ -187,8 +186,6 @@
         if reply.retry_after_ms:
             seconds = -(-reply.retry_after_ms // MS_PER_S)
             headers.append(("Retry-After", str(seconds)))
-        if self.leaving:
-            headers.append(("Connection", "close"))
         start_response(STATUS_LINES[reply.status], headers)
         return [encoded]
 
