Refuse requests that reach an entry after its core has ended

Ruled out: the listener's grace alone (0.2 s now; it was 1 s). Still binding: seconds after a closing fault, bursts.

--- a/src/sardineferry/burst/entry.py
+++ b/src/sardineferry/burst/entry.py
@@ -11,6 +11,7 @@
 from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.effects import ObserveLatency
 from sardineferry.decision.burst.requests import BurstReply
+from sardineferry.decision.burst.requests import ReplyKind
 from sardineferry.decision.events import Drain
 from sardineferry.logs import part_logger
 from sardineferry.signals import SignalWatch
@@ -31,6 +32,11 @@
 # For answers that are on their way to callers when the core has ended.
 FLUSH_S = 0.15
 
+# Between looks for requests that come after the core has ended.
+LATE_STEP_S = 0.01
+# Other entries serve at once.
+RETRY_AFTER_MS = 500
+
 logger = part_logger("entry")
 
 
@@ -88,13 +94,27 @@
         parts.callers.leave()
         parts.mailbox.put(Drain("signal"))
         self.loop.exited.wait(parts.settings_watch.settings.grace_ms / 1_000)
-        time.sleep(FLUSH_S)
+        self.refuse_late(FLUSH_S)
         parts.callers.stop()
         parts.readiness.stop()
         parts.links.close_all()
         parts.listener.stop()
         logger.info("Stopped.")
-        time.sleep(FLUSH_S)
+        self.refuse_late(FLUSH_S)
+
+    def refuse_late(self, duration_s: float) -> None:
+        """Refuse what comes after the core has ended, and let answers leave.
+
+        The core has answered all that it took, so the rest has not run.
+        """
+        until_s = time.monotonic() + duration_s
+        while time.monotonic() < until_s:
+            self.parts.waiting.answer_all(
+                lambda token: BurstReply(
+                    token, ReplyKind.NOT_RUN, "entry has left", RETRY_AFTER_MS
+                )
+            )
+            time.sleep(LATE_STEP_S)
 
     @singledispatchmethod
     def perform(self, effect: BurstEffect) -> None:
--- a/src/sardineferry/decision/burst/entry.py
+++ b/src/sardineferry/decision/burst/entry.py
@@ -65,6 +65,7 @@
             left = EntryLeft(state.name)
             links = [view.name for view in state.agents.values() if view.linked]
             state.effects.extend(Send(link, left) for link in links)
+            state.left = True
             state.effects.append(Exit("drained" if idle else "grace is over"))
 
     def tick_interval_ms(self) -> int:
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -41,6 +41,9 @@
     event: SubmitJob, state: BurstEntryState, _sender: str, now_ms: int
 ) -> None:
     """Admit a job, join it to its earlier submission, or refuse it at once."""
+    if state.left:
+        refuse(state, event, "entry has left", NO_WORKER_RETRY_MS)
+        return
     if state.configuration.version < 0:
         refuse(state, event, "no configuration yet", NO_WORKER_RETRY_MS)
         return
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -201,6 +201,8 @@
         self.next_order = 1
         self.started_ms: int | None = None
         self.leaving_ms: int | None = None
+        # True once the process is about to exit: nothing is begun any more.
+        self.left = False
 
     def remember_attempt(self, job: ActiveJob) -> None:
         """Keep the highest attempt, in case the job is submitted again."""
--- a/src/sardineferry/entry/waiting.py
+++ b/src/sardineferry/entry/waiting.py
@@ -4,9 +4,13 @@
 
 import itertools
 from concurrent.futures import Future
+from typing import TYPE_CHECKING
 from typing import Generic
 from typing import TypeVar
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 __all__ = ["WaitingRequests"]
 
 T = TypeVar("T")
@@ -33,6 +37,11 @@
         if future is not None:
             future.set_result(value)
 
+    def answer_all(self, value: Callable[[int], T]) -> None:
+        """Answer every token that waits."""
+        for token in list(self.futures):
+            self.answer(token, value(token))
+
     def give_up(self, token: int) -> None:
         """Wait no more for a token."""
         self.futures.pop(token, None)
--- a/src/sardineferry/transport/listener.py
+++ b/src/sardineferry/transport/listener.py
@@ -30,7 +30,7 @@
 __all__ = ["Listener", "ListenerError"]
 
 LINK_LIMIT = 1_000
-STOP_GRACE_S = 1.0
+STOP_GRACE_S = 0.2
 
 logger = part_logger("listener")
 
