--- a/src/sardineferry/decision/burst/entry.py
+++ b/src/sardineferry/decision/burst/entry.py
@@ -47,6 +47,8 @@
     def tick(self, now_ms: int) -> list[BurstEffect]:
         """Apply what is due by the clock."""
         state = self.state
+        if state.started_ms is None:
+            state.started_ms = now_ms
         entry_agents.check_agents(state, now_ms)
         entry_callers.check_queue(state, now_ms)
         entry_placing.place_waiting(state, now_ms)
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -180,7 +180,7 @@
         return
     job.begun = True
     if event.how == ENDED_DONE:
-        note_success(state, view, placed, event, now_ms)
+        note_success(state, view, placed, event)
         task.advance("done")
         finish_if_done(state, job, now_ms)
         return
@@ -200,14 +200,12 @@
     view: AgentView,
     placed: PlacedRun,
     event: RunEnded,
-    now_ms: int,
 ) -> None:
     """Learn from a run that ended as done."""
     step = placed.job.step
     if view.health.state != "open":
         view.health.note_success()
     state.speeds.note(view.name, view.kind(), event.run_ms, step.estimate_ms)
-    state.drain_rate.note(step.need.cpu * step.estimate_ms, now_ms)
 
 
 def end_probe(state: BurstEntryState, view: AgentView, now_ms: int) -> None:
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -8,6 +8,7 @@
 from sardineferry.decision.burst.configuration import match_route
 from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.effects import ObserveLatency
+from sardineferry.decision.burst.entry_placing import usable
 from sardineferry.decision.burst.entry_rules import handle_entry_event
 from sardineferry.decision.burst.entry_state import ActiveJob
 from sardineferry.decision.burst.entry_state import goal_of
@@ -89,7 +90,10 @@
         and view.linked
         and view.profile.service == route.service
     ]
+    starting = state.is_starting(now_ms)
     if not profiles:
+        if starting:
+            return None
         return ("no worker of the service is linked", NO_WORKER_RETRY_MS)
     able = [
         profile
@@ -106,7 +110,7 @@
             return ("entry is leaving", NO_WORKER_RETRY_MS)
     goal_ms = goal_of(route, step)
     wait_ms = forecast_ms(state, now_ms)
-    if wait_ms > admission.give_up_after_ms(goal_ms, run_ms):
+    if not starting and wait_ms > admission.give_up_after_ms(goal_ms, run_ms):
         return (f"forecast wait {wait_ms:.0f} ms", admission.retry_after_ms(wait_ms))
     return None
 
@@ -114,7 +118,26 @@
 def forecast_ms(state: BurstEntryState, now_ms: int) -> float:
     """Return how long a job that arrives now waits for its start."""
     ahead = sum(job.work_waiting() for job in state.queue)
-    return admission.forecast_wait_ms(ahead, state.drain_rate.rate(now_ms))
+    return admission.forecast_wait_ms(ahead, own_rate(state, now_ms))
+
+
+def own_rate(state: BurstEntryState, now_ms: int) -> float:
+    """Return the work per millisecond that this entry can count on.
+
+    Of the work that all workers do, it is the share of the room in use that
+    its own runs take, and at least that of one entry among all.
+    """
+    capacity = 0.0
+    used = 0
+    own = 0
+    for view in state.agents.values():
+        if view.profile is None or not usable(view, now_ms):
+            continue
+        capacity += view.profile.total.cpu / state.speeds.factor(view.name, view.kind())
+        used += view.profile.total.cpu - view.free.cpu
+        own += sum(placed.job.step.need.cpu for placed in view.runs.values())
+    share = own / used if used > 0 else 0.0
+    return capacity * min(1.0, max(share, 1.0 / max(1, len(state.addresses))))
 
 
 def refuse(
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from sardineferry.charts import load_chart
-from sardineferry.decision.burst.admission import DrainRate
 from sardineferry.decision.burst.config_relay import ConfigRelay
 from sardineferry.decision.burst.configuration import NO_CONFIGURATION
 from sardineferry.decision.burst.speed import SpeedBook
@@ -30,6 +29,9 @@
 
 __all__ = ["ActiveJob", "ActiveTask", "AgentView", "BurstEntryState", "PlacedRun"]
 
+# After its start an entry learns of workers for about a second: agents dial it
+# within 120 ms, and a worker that has just started reports within 1 s.
+STARTING_MS = 1_500
 # Jobs whose highest attempt is remembered after their end.
 ATTEMPTS_KEPT = 4_096
 
@@ -197,7 +199,6 @@
         self.queue: list[ActiveJob] = []
         self.attempts: OrderedDict[str, int] = OrderedDict()
         self.speeds = SpeedBook()
-        self.drain_rate = DrainRate()
         self.next_order = 1
         self.started_ms: int | None = None
         self.leaving_ms: int | None = None
@@ -210,6 +211,10 @@
         while len(self.attempts) > ATTEMPTS_KEPT:
             self.attempts.popitem(last=False)
 
+    def is_starting(self, now_ms: int) -> bool:
+        """Tell whether workers are still being found after the start."""
+        return self.started_ms is None or now_ms - self.started_ms < STARTING_MS
+
     def ready(self) -> bool:
         """Tell whether new connections may come."""
         return (
