--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -62,13 +62,18 @@
 
 
 def call(
-    address: str, method: str, path: str, body: object = None, timeout_s: float = 60.0
+    address: str,
+    method: str,
+    path: str,
+    body: object = None,
+    timeout_s: float = 60.0,
+    headers: dict[str, str] | None = None,
 ) -> tuple[int, Any]:
     """Make one HTTP call with JSON bodies."""
     connection = http.client.HTTPConnection(address, timeout=timeout_s)
     try:
         text = None if body is None else json.dumps(body)
-        connection.request(method, path, text)
+        connection.request(method, path, text, headers or {})
         response = connection.getresponse()
         return response.status, json.loads(response.read() or b"null")
     finally:
--- a/src/sardineferry/console/deployed.py
+++ b/src/sardineferry/console/deployed.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import argparse
+import os
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -16,6 +17,7 @@
 from sardineferry.console.outcome import fail_settings
 from sardineferry.deployment import build_deployed_agent
 from sardineferry.deployment import build_deployed_entry
+from sardineferry.exposition import METRICS_PORT
 from sardineferry.http_server import HttpError
 from sardineferry.platform.settings import load_deployment_settings
 from sardineferry.platform.settings import settings_path
@@ -28,6 +30,7 @@
     from sardineferry.settings import DeploymentSettings
 
 __all__ = ["main"]
+METRICS_VARIABLE = "SARDINEFERRY_METRICS_PORT"
 
 
 class Program(Protocol):
@@ -37,12 +40,17 @@
         """Serve until a signal."""
 
 
-BUILDERS: dict[str, Callable[[DeploymentSettings, Path], Program]] = {
+BUILDERS: dict[str, Callable[[DeploymentSettings, Path, int], Program]] = {
     "entry": build_deployed_entry,
     "agent": build_deployed_agent,
 }
 
 
+def metrics_port() -> int:
+    """Return the port for metrics; several processes on a machine need theirs."""
+    return int(os.environ.get(METRICS_VARIABLE, METRICS_PORT))
+
+
 def run(role: str) -> None:
     """Serve as an entry or as an agent until SIGTERM."""
     path = settings_path()
@@ -50,7 +58,7 @@
     if isinstance(loaded, Failure):
         fail_settings(loaded.failure())
     try:
-        process = BUILDERS[role](loaded.unwrap(), path)
+        process = BUILDERS[role](loaded.unwrap(), path, metrics_port())
     except (HttpError, ListenerError) as error:
         fail(str(error))
     process.run()
--- a/src/sardineferry/deployment.py
+++ b/src/sardineferry/deployment.py
@@ -19,7 +19,6 @@
 from sardineferry.decision.burst import BurstEntryCore
 from sardineferry.decision.burst import BurstEntryState
 from sardineferry.entry.waiting import WaitingRequests
-from sardineferry.exposition import METRICS_PORT
 from sardineferry.exposition import Exposition
 from sardineferry.http_server import HttpServer
 from sardineferry.logs import configure_structured_logs
@@ -85,7 +84,7 @@
 
 
 def build_deployed_entry(
-    settings: DeploymentSettings, path: Path, metrics_port: int = METRICS_PORT
+    settings: DeploymentSettings, path: Path, metrics_port: int
 ) -> BurstEntryProcess:
     """Build an entry; its addresses are bound, its threads not started."""
     configure_structured_logs(LOG_LEVEL)
@@ -149,7 +148,7 @@
 
 
 def build_deployed_agent(
-    settings: DeploymentSettings, path: Path, metrics_port: int = METRICS_PORT
+    settings: DeploymentSettings, path: Path, metrics_port: int
 ) -> BurstAgentProcess:
     """Build an agent; its addresses are bound, its threads not started."""
     configure_structured_logs(LOG_LEVEL)
--- a/src/sardineferry/standin/__init__.py
+++ b/src/sardineferry/standin/__init__.py
@@ -4,5 +4,6 @@
 
 from sardineferry.standin.log import LogStandin
 from sardineferry.standin.target import TargetStandin
+from sardineferry.standin.worker import WorkerStandin
 
-__all__ = ["LogStandin", "TargetStandin"]
+__all__ = ["LogStandin", "TargetStandin", "WorkerStandin"]
--- a/src/sardineferry/standin/log.py
+++ b/src/sardineferry/standin/log.py
@@ -2,7 +2,8 @@
 
 Faults are set by ``POST /faults`` with any of ``outage`` (refuses all),
 ``slow_ms`` (delays all), ``lose_answers`` (the next appends act but answer
-with an error) and ``retention`` (records kept per topic).
+with an error) and ``retention`` (records kept per topic). ``PUT
+/keys/TOPIC/KEY`` writes a key as the operator does.
 """
 
 from __future__ import annotations
@@ -90,6 +91,9 @@
             case "POST", ("faults",):
                 self.faults.update(request.body)
                 return Response(200, self.faults)
+            case "PUT", ("keys", topic, key):
+                self.put_key(topic, key, request.body)
+                return Response(200, {})
             case "GET", ("stats",):
                 return Response(200, {"appends": self.appends})
         if self.faults["outage"]:
--- /dev/null
+++ b/tests/process/test_deployed.py
@@ -0,0 +1,292 @@
+"""Tests of the programs as a platform runs them, on loopback stand-ins."""
+
+from __future__ import annotations
+
+import http.client
+import signal
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest
+from bench.deployed_fleet import HOST_NAME
+from bench.deployed_fleet import PATH_PREFIX
+from bench.deployed_fleet import DeployedFleet
+from bench.deployed_fleet import configuration
+from bench.deployed_fleet import make_burst
+from bench.deployed_fleet import submit_burst
+from bench.fleet import call
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+RESUBMIT_S = 1.3
+HEADERS = {"Host": HOST_NAME}
+COMPLETED = (200, {"State": "completed"})
+
+
+@pytest.fixture
+def fleet() -> Iterator[DeployedFleet]:
+    with DeployedFleet(2, 3) as started:
+        yield started
+
+
+def job_id(number: int) -> str:
+    return f"{number:016x}"
+
+
+def wait_for_start(fleet: DeployedFleet, index: int) -> None:
+    fleet.wait(lambda: call(fleet.worker(index), "GET", "/starts")[1])
+
+
+def submit_again(fleet: DeployedFleet, job: dict[str, object]) -> Any:
+    """Submit as callers do: after a broken connection again, elsewhere."""
+    try:
+        return submit_burst(fleet.entry(0), job_id(1), job)
+    except OSError:
+        time.sleep(RESUBMIT_S)
+        return submit_burst(fleet.entry(1), job_id(1), job)
+
+
+def test_burst_is_answered_whole_by_any_entry(fleet: DeployedFleet) -> None:
+    with ThreadPoolExecutor(20) as pool:
+        answers = list(
+            pool.map(
+                lambda number: submit_burst(
+                    fleet.entry(number % 2), job_id(number), make_burst(4, 50)
+                ),
+                range(1, 21),
+            )
+        )
+    assert answers == [COMPLETED] * 20
+    assert fleet.breaches() == []
+
+
+@pytest.mark.parametrize(
+    ("body", "status"),
+    [
+        ({"Spec": "x", "Steps": [{"Count": 1}], "Burstable": False}, 503),
+        ({**make_burst(1, 1), "Times": 3}, 503),
+        ({**make_burst(1, 1), "Steps": [{"Count": 1, "Gang": True}]}, 503),
+        ({**make_burst(1, 1), "Steps": []}, 400),
+        ({**make_burst(1, 1), "Steps": [{"Count": -1}]}, 400),
+        ({**make_burst(1, 1), "Steps": "many"}, 400),
+        ({**make_burst(1, 1), "Spec": "x" * 4_001}, 400),
+        ({**make_burst(1, 1), "Spec": 7}, 400),
+        ({**make_burst(1, 1), "Steps": [{"Count": 1, "Cpu": 10**9}]}, 503),
+        ([], 400),
+        ("text", 400),
+    ],
+)
+def test_job_that_cannot_be_served_is_refused_at_once(
+    fleet: DeployedFleet, body: object, status: int
+) -> None:
+    before_s = time.monotonic()
+    path = PATH_PREFIX + job_id(1)
+    found, _ = call(fleet.entry(0), "POST", path, body, 30.0, HEADERS)
+    assert found == status
+    assert time.monotonic() - before_s < 0.5
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "host", "status"),
+    [
+        ("GET", PATH_PREFIX, HOST_NAME, 200),
+        ("GET", "/other/", HOST_NAME, 404),
+        ("GET", PATH_PREFIX, "other.example", 404),
+        ("GET", PATH_PREFIX + job_id(9), HOST_NAME, 410),
+        ("DELETE", PATH_PREFIX + job_id(9), HOST_NAME, 410),
+        ("POST", "/other/" + job_id(9), HOST_NAME, 404),
+        ("POST", PATH_PREFIX + "no-id", HOST_NAME, 400),
+        ("PATCH", PATH_PREFIX, HOST_NAME, 405),
+    ],
+)
+def test_paths_are_answered_by_the_configuration(
+    fleet: DeployedFleet, method: str, path: str, host: str, status: int
+) -> None:
+    body = make_burst(1, 1) if method == "POST" else None
+    found, _ = call(fleet.entry(0), method, path, body, 30.0, {"Host": host})
+    assert found == status
+
+
+def test_leaving_entry_answers_what_it_has_taken(fleet: DeployedFleet) -> None:
+    with ThreadPoolExecutor(1) as pool:
+        answer = pool.submit(
+            submit_burst, fleet.entry(0), job_id(1), make_burst(3, 1_500)
+        )
+        fleet.wait(lambda: any_start(fleet))
+        fleet.kill("entry-0", signal.SIGTERM)
+        assert answer.result(30) == COMPLETED
+    assert fleet.processes["entry-0"].wait(10) == 0
+    assert fleet.breaches() == []
+
+
+def any_start(fleet: DeployedFleet) -> bool:
+    return any(
+        call(fleet.worker(index), "GET", "/starts")[1]
+        for index in range(len(fleet.agent_ips))
+    )
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
+def test_lost_entry_leaves_no_run_that_a_new_submission_meets(
+    fleet: DeployedFleet, number: int
+) -> None:
+    with ThreadPoolExecutor(1) as pool:
+        job = make_burst(6, 2_500)
+        first = pool.submit(submit_burst, fleet.entry(0), job_id(1), job)
+        fleet.wait(lambda: any_start(fleet))
+        fleet.kill("entry-0", number)
+        time.sleep(RESUBMIT_S)
+        again = submit_burst(fleet.entry(1), job_id(1), job)
+        assert again == COMPLETED
+        fleet.kill("entry-0")
+        with pytest.raises(OSError, match=r".*"):
+            first.result(30)
+    assert fleet.breaches() == []
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP, signal.SIGTERM])
+def test_job_survives_the_loss_of_an_agent(fleet: DeployedFleet, number: int) -> None:
+    with ThreadPoolExecutor(1) as pool:
+        answer = pool.submit(
+            submit_burst, fleet.entry(0), job_id(1), make_burst(18, 1_000)
+        )
+        wait_for_start(fleet, 0)
+        fleet.kill("agent-0", number)
+        assert answer.result(30) == COMPLETED
+    assert fleet.breaches() == []
+
+
+def test_restarted_agent_empties_its_worker_first(fleet: DeployedFleet) -> None:
+    with ThreadPoolExecutor(1) as pool:
+        answer = pool.submit(
+            submit_burst, fleet.entry(0), job_id(1), make_burst(24, 1_200)
+        )
+        wait_for_start(fleet, 0)
+        fleet.kill("agent-0")
+        fleet.processes["agent-0"].wait(10)
+        fleet.start_agent(0)
+        assert answer.result(30) == COMPLETED
+    assert fleet.breaches() == []
+
+
+def test_start_without_answer_is_repeated_and_runs_once(fleet: DeployedFleet) -> None:
+    for index in range(3):
+        call(fleet.worker(index), "POST", "/faults", {"lose_starts": 2, "late_ms": 900})
+    job = make_burst(12, 300)
+    assert submit_burst(fleet.entry(0), job_id(1), job) == COMPLETED
+    time.sleep(1.0)
+    assert fleet.breaches() == []
+
+
+def test_caller_that_leaves_frees_its_room(fleet: DeployedFleet) -> None:
+    with pytest.raises(OSError, match=r".*"):
+        submit_burst(fleet.entry(0), job_id(1), make_burst(24, 20_000), 1.0)
+    answer = submit_burst(fleet.entry(1), job_id(2), make_burst(24, 50))
+    assert answer == COMPLETED
+    assert fleet.breaches() == []
+
+
+def test_submission_again_joins_the_running_job(fleet: DeployedFleet) -> None:
+    with ThreadPoolExecutor(2) as pool:
+        answers = [
+            pool.submit(submit_burst, fleet.entry(0), job_id(1), make_burst(4, 800))
+            for _ in range(2)
+        ]
+        assert [answer.result(30) for answer in answers] == [COMPLETED] * 2
+    starts = [
+        row
+        for index in range(3)
+        for row in call(fleet.worker(index), "GET", "/starts")[1]
+    ]
+    assert len(starts) == 4
+
+
+def test_failed_task_is_repeated_elsewhere(fleet: DeployedFleet) -> None:
+    call(fleet.worker(0), "POST", "/faults", {"fail": True})
+    answers = [
+        submit_burst(fleet.entry(0), job_id(number), make_burst(12, 50))
+        for number in range(1, 4)
+    ]
+    assert answers == [COMPLETED] * 3
+    assert fleet.breaches() == []
+
+
+def test_job_fails_once_its_attempts_are_used_up(fleet: DeployedFleet) -> None:
+    for index in range(3):
+        call(fleet.worker(index), "POST", "/faults", {"fail": True})
+    answer = submit_burst(fleet.entry(0), job_id(1), make_burst(2, 50))
+    assert answer == (200, {"State": "failed"})
+
+
+def test_newer_configuration_is_in_force_within_its_bound(
+    fleet: DeployedFleet,
+) -> None:
+    fleet.configure(configuration(7, PathPrefix="/quotes/"))
+    time.sleep(2.0)
+    for index in range(2):
+        address = fleet.entry(index)
+        moved = call(address, "GET", "/quotes/", None, 30.0, HEADERS)
+        dropped = call(address, "GET", PATH_PREFIX, None, 30.0, HEADERS)
+        assert (moved[0], dropped[0]) == (200, 404)
+
+
+def test_older_configuration_is_never_adopted(fleet: DeployedFleet) -> None:
+    fleet.configure(configuration(0, PathPrefix="/quotes/"))
+    time.sleep(1.5)
+    assert call(fleet.entry(0), "GET", PATH_PREFIX, None, 30.0, HEADERS)[0] == 200
+
+
+def test_entry_that_starts_while_the_store_is_down_learns_from_agents(
+    fleet: DeployedFleet,
+) -> None:
+    call(fleet.store, "POST", "/faults", {"outage": True})
+    fleet.kill("entry-0")
+    fleet.processes["entry-0"].wait(10)
+    fleet.start_entry(0)
+    fleet.wait_ready(0)
+    answer = submit_burst(fleet.entry(0), job_id(1), make_burst(2, 20))
+    assert answer == COMPLETED
+
+
+def test_draining_worker_gets_no_new_runs(fleet: DeployedFleet) -> None:
+    call(fleet.worker(0), "POST", "/faults", {"draining": True})
+    time.sleep(1.5)
+    for number in range(1, 6):
+        submit_burst(fleet.entry(0), job_id(number), make_burst(4, 20))
+    assert call(fleet.worker(0), "GET", "/starts")[1] == []
+
+
+def test_settings_are_reloaded_on_a_signal(fleet: DeployedFleet) -> None:
+    for name in ("entry-0", "agent-0"):
+        fleet.kill(name, signal.SIGHUP)
+        fleet.wait(lambda name=name: "Settings reloaded" in fleet.log_of(name))
+    answer = submit_burst(fleet.entry(0), job_id(1), make_burst(2, 20))
+    assert answer == COMPLETED
+
+
+def test_failed_request_can_be_followed_by_its_id(fleet: DeployedFleet) -> None:
+    for index in range(3):
+        call(fleet.worker(index), "POST", "/faults", {"fail": True})
+    submit_burst(fleet.entry(0), job_id(77), make_burst(1, 50))
+    lines = [
+        line for line in fleet.log_of("entry-0").splitlines() if job_id(77) in line
+    ]
+    events = ["job admitted", "runs ordered", "attempts used up"]
+    assert all(any(event in line for line in lines) for event in events)
+
+
+def test_metrics_are_served_as_text(fleet: DeployedFleet) -> None:
+    submit_burst(fleet.entry(0), job_id(1), make_burst(1, 20))
+    connection = f"{fleet.entry_ips[0]}:{fleet.metrics}"
+    text = fetch_text(connection, "/metrics")
+    assert "sardineferry_jobs_completed_total 1.0" in text
+    assert 'sardineferry_latency_seconds_count{outcome="completed",what="job"}' in text
+
+
+def fetch_text(address: str, path: str) -> str:
+    connection = http.client.HTTPConnection(address, timeout=10)
+    connection.request("GET", path)
+    return connection.getresponse().read().decode()
