Test decisions on burst jobs by tables; group repeats that avoid the same agents

Found by a test: repeats of one job lost together were ordered one message each, as each task was placed by itself. They now travel in one order an agent.

--- a/src/sardineferry/decision/burst/entry_placing.py
+++ b/src/sardineferry/decision/burst/entry_placing.py
@@ -58,24 +58,21 @@
 
 def place_job(state: BurstEntryState, job: ActiveJob, now_ms: int) -> None:
     """Place as many tasks of a job as fit; repeats avoid where they failed."""
-    waiting = job.waiting()
-    fresh = [task for task in waiting if not task.tried]
-    place_group(state, job, fresh, set(), now_ms)
-    for task in waiting:
-        if task.tried:
-            place_group(state, job, [task], task.tried, now_ms)
+    groups: dict[frozenset[str], list[ActiveTask]] = {}
+    for task in job.waiting():
+        groups.setdefault(frozenset(task.tried), []).append(task)
+    for tried, tasks in groups.items():
+        place_group(state, job, tasks, tried, now_ms)
 
 
 def place_group(
     state: BurstEntryState,
     job: ActiveJob,
     tasks: list[ActiveTask],
-    tried: set[str],
+    tried: frozenset[str],
     now_ms: int,
 ) -> None:
     """Place tasks that have been tried at the same agents."""
-    if not tasks:
-        return
     candidates = candidates_for(state, job, tried, now_ms)
     step = job.step
     left = list(tasks)
@@ -85,7 +82,7 @@
 
 
 def candidates_for(
-    state: BurstEntryState, job: ActiveJob, tried: set[str], now_ms: int
+    state: BurstEntryState, job: ActiveJob, tried: frozenset[str], now_ms: int
 ) -> list[Candidate]:
     """Return the agents that may run a job's tasks, best first."""
     step = job.step
--- /dev/null
+++ b/tests/decision/burst/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of decisions on burst jobs."""
--- /dev/null
+++ b/tests/decision/burst/test_agent.py
@@ -0,0 +1,336 @@
+"""Tests of the agent's decisions on a leased worker."""
+
+from __future__ import annotations
+
+import pytest
+
+from sardineferry.decision.burst import timing
+from sardineferry.decision.burst.effects import DropLink
+from sardineferry.decision.burst.worker import HoldWorker
+from sardineferry.decision.burst.worker import PresentRun
+from sardineferry.decision.burst.worker import RunEnd
+from sardineferry.decision.burst.worker import StartAnswer
+from sardineferry.decision.burst.worker import StartRun
+from sardineferry.decision.burst.worker import StopAnswered
+from sardineferry.decision.burst.worker import StopRun
+from sardineferry.decision.effects import Exit
+from sardineferry.decision.events import Drain
+from sardineferry.decision.events import LinkDown
+from sardineferry.messages.burst import EntryBeat
+from sardineferry.messages.burst import HeldRuns
+from sardineferry.messages.burst import Resources
+from sardineferry.messages.burst import RunEnded
+from sardineferry.messages.burst import RunRef
+from sardineferry.messages.burst import StartRuns
+from sardineferry.messages.burst import StopRuns
+from sardineferry.messages.burst import WorkerRoom
+from tests.decision.burst.drive import LINK
+from tests.decision.burst.drive import AgentDriver
+from tests.decision.burst.drive import ref
+from tests.decision.burst.drive import sent
+
+ONE = ref()
+
+
+@pytest.fixture
+def agent() -> AgentDriver:
+    return AgentDriver()
+
+
+def running(agent: AgentDriver) -> None:
+    agent.order(ONE)
+    agent.answer(ONE)
+    agent.now_ms += 1
+
+
+def test_sum_of_bounds_is_below_the_resubmit_bound() -> None:
+    lapse_ms = timing.LEASE_MS / (1 - timing.CLOCK_SLOWNESS) + timing.KILL_MS
+    total_ms = timing.SILENCE_MS + timing.TICK_MS + lapse_ms
+    assert total_ms < timing.RESUBMIT_MS
+    assert total_ms - 1 <= timing.GONE_MS < timing.RESUBMIT_MS
+
+
+def test_order_within_the_room_is_started_under_a_lease(agent: AgentDriver) -> None:
+    starts = sent(agent.order(ONE), StartRun)
+    assert [start.run for start in starts] == [ONE]
+    assert starts[0].lease_until_ms - agent.now_ms == timing.LEASE_MS
+    assert starts[0].worker_id == "w"
+
+
+@pytest.mark.parametrize(
+    ("prepare", "reason"),
+    [
+        (lambda agent: agent.order(ref(9), need=Resources(3_500)), "no room"),
+        (lambda agent: agent.handle(agent.report(2, draining=True)), "not accepting"),
+        (lambda agent: agent.handle(Drain("signal")), "not accepting"),
+        (lambda agent: agent.handle(agent.report(1, "v", 2)), "not accepting"),
+    ],
+    ids=["full", "worker drains", "agent leaves", "new life not read yet"],
+)
+def test_order_that_does_not_fit_is_refused(
+    agent: AgentDriver, prepare: object, reason: str
+) -> None:
+    prepare(agent)  # type: ignore[operator]
+    effects = agent.order(ONE)
+    assert sent(effects, StartRun) == []
+    assert [(end.how, end.reason) for end in sent(effects, RunEnded)] == [
+        ("refused", reason)
+    ]
+
+
+def test_order_that_was_held_up_is_refused(agent: AgentDriver) -> None:
+    ends = sent(agent.order(ONE, ttl_ms=-1), RunEnded)
+    assert [(end.how, end.reason) for end in ends] == [("refused", "order expired")]
+
+
+def test_what_is_being_stopped_still_takes_room(agent: AgentDriver) -> None:
+    agent.order(ONE, need=Resources(3_500))
+    agent.answer(ONE)
+    agent.handle(StopRuns((ONE,)))
+    ends = sent(agent.order(ref(1)), RunEnded)
+    assert [end.reason for end in ends] == ["no room"]
+
+
+def test_second_run_of_a_task_is_refused_while_one_is_there(
+    agent: AgentDriver,
+) -> None:
+    running(agent)
+    agent.link("10.0.0.2:7000", "f")
+    effects = agent.handle(agent_order(agent, ref(attempt=2)), "10.0.0.2:7000")
+    assert [end.reason for end in sent(effects, RunEnded)] == ["task is still running"]
+
+
+def agent_order(agent: AgentDriver, run: RunRef) -> StartRuns:
+    return StartRuns(1, agent.now_ms + 400, (run,), "spec", Resources(1), 100)
+
+
+@pytest.mark.parametrize(
+    ("answers", "starts", "how"),
+    [
+        (["UNANSWERED", "STARTED"], 2, []),
+        (["LATE", "STARTED"], 2, []),
+        (["FENCED", "STARTED"], 2, []),
+        (["NO_ROOM"], 1, ["refused"]),
+        (["REJECTED"], 1, ["refused"]),
+        (["OTHER_LIFE"], 1, ["refused"]),
+        (["SUPERSEDED"], 1, ["refused"]),
+        # The first order may have been carried out: its run is barred instead.
+        (["UNANSWERED", "REJECTED"], 2, []),
+        (["UNANSWERED", "SUPERSEDED"], 2, []),
+    ],
+)
+def test_start_goes_on_by_its_answers(
+    agent: AgentDriver, answers: list[str], starts: int, how: list[str]
+) -> None:
+    effects = agent.order(ONE)
+    for name in answers:
+        effects.extend(agent.answer(ONE, StartAnswer[name]))
+    assert len(sent(effects, StartRun)) == starts
+    assert {start.run for start in sent(effects, StartRun)} == {ONE}
+    assert [end.how for end in sent(effects, RunEnded)] == how
+
+
+def test_higher_token_follows_a_refused_one(agent: AgentDriver) -> None:
+    first = sent(agent.order(ONE), StartRun)[0]
+    again = sent(agent.answer(ONE, StartAnswer.FENCED), StartRun)[0]
+    assert again.fencing_token > first.fencing_token
+
+
+def test_unanswered_start_is_barred_before_it_counts_as_lost(
+    agent: AgentDriver,
+) -> None:
+    effects = agent.order(ONE)
+    for _ in range(6):
+        effects.extend(agent.answer(ONE, StartAnswer.UNANSWERED))
+    assert len(sent(effects, StopRun)) == 1
+    assert sent(effects, RunEnded) == []
+    agent.now_ms += 1
+    agent.handle(StopAnswered(ONE, True, False, agent.now_ms))
+    agent.now_ms += 1
+    assert [end.how for end in sent(agent.hold(), RunEnded)] == ["lost"]
+
+
+@pytest.mark.parametrize("how", ["done", "failed", "lost"])
+def test_listed_end_is_reported_and_taken_note_of(agent: AgentDriver, how: str) -> None:
+    running(agent)
+    effects = agent.hold(ends=(RunEnd(7, ONE, how),))
+    assert [end.how for end in sent(effects, RunEnded)] == [how]
+    assert [hold.acknowledged for hold in sent(effects, HoldWorker)] == [7]
+    assert sent(agent.hold(ends=(RunEnd(7, ONE, how),)), RunEnded) == []
+
+
+def test_end_of_an_earlier_attempt_does_not_count(agent: AgentDriver) -> None:
+    agent.order(ref(attempt=2))
+    agent.answer(ref(attempt=2))
+    agent.now_ms += 1
+    present = (PresentRun(ref(attempt=2), 10),)
+    effects = agent.hold(ends=(RunEnd(1, ONE, "done"),), present=present)
+    assert sent(effects, RunEnded) == []
+
+
+def test_run_that_is_no_longer_listed_is_lost(agent: AgentDriver) -> None:
+    running(agent)
+    assert [end.how for end in sent(agent.hold(), RunEnded)] == ["lost"]
+
+
+def test_run_that_started_after_the_list_was_asked_for_stays(
+    agent: AgentDriver,
+) -> None:
+    running(agent)
+    assert sent(agent.hold(sent_ms=agent.now_ms - 5), RunEnded) == []
+
+
+def test_lease_is_extended_while_runs_are_there(agent: AgentDriver) -> None:
+    running(agent)
+    holds = sent(agent.hold(present=(PresentRun(ONE, 1),)), HoldWorker)
+    assert holds[0].lease_until_ms == agent.now_ms + timing.LEASE_MS
+    assert 0 < holds[0].wait_ms <= timing.RENEW_MS
+
+
+def test_idle_worker_is_left_alone(agent: AgentDriver) -> None:
+    agent.effects.clear()
+    for _ in range(20):
+        agent.tick(100)
+    assert sent(agent.effects, HoldWorker) == []
+
+
+def test_runs_of_a_silent_entry_are_stopped_within_the_bound(
+    agent: AgentDriver,
+) -> None:
+    running(agent)
+    agent.handle(LinkDown(LINK))
+    assert sent(agent.tick(timing.SILENCE_MS - 10), StopRun) == []
+    assert [stop.run for stop in sent(agent.tick(20), StopRun)] == [ONE]
+
+
+def test_runs_go_on_while_the_entry_echoes_fresh_stamps(agent: AgentDriver) -> None:
+    running(agent)
+    effects: list[object] = []
+    for _ in range(20):
+        effects.extend(agent.tick(100))
+        agent.handle(EntryBeat(agent.now_ms - 50))
+    assert sent(effects, StopRun) == []
+
+
+def test_late_echo_of_an_old_stamp_keeps_nothing_alive(agent: AgentDriver) -> None:
+    running(agent)
+    stamp_ms = agent.now_ms
+    agent.now_ms += 600
+    agent.handle(EntryBeat(stamp_ms))
+    assert [stop.run for stop in sent(agent.tick(), StopRun)] == [ONE]
+
+
+def test_entry_that_is_back_in_time_keeps_its_runs(agent: AgentDriver) -> None:
+    running(agent)
+    agent.handle(LinkDown(LINK))
+    agent.tick(100)
+    agent.effects.clear()
+    agent.link()
+    assert sent(agent.effects, StopRun) == []
+    assert [held.runs for held in sent(agent.effects, HeldRuns)] == [(ONE,)]
+
+
+def test_end_during_a_broken_link_is_told_on_the_next(agent: AgentDriver) -> None:
+    running(agent)
+    agent.handle(LinkDown(LINK))
+    assert sent(agent.hold(ends=(RunEnd(1, ONE, "done"),)), RunEnded) == []
+    agent.effects.clear()
+    agent.link()
+    assert [end.how for end in sent(agent.effects, RunEnded)] == ["done"]
+
+
+def test_restarted_entry_loses_the_runs_of_its_earlier_life(
+    agent: AgentDriver,
+) -> None:
+    running(agent)
+    agent.effects.clear()
+    agent.link(incarnation="2")
+    assert [stop.run for stop in sent(agent.effects, StopRun)] == [ONE]
+
+
+def test_silent_link_is_dropped(agent: AgentDriver) -> None:
+    agent.tick(timing.IDLE_SILENCE_MS + 1)
+    assert DropLink(LINK) in agent.effects
+
+
+def test_unknown_runs_are_stopped_before_anything_starts() -> None:
+    agent = AgentDriver()
+    agent.handle(agent.report(1, "v", 2))
+    effects = agent.hold(born_ms=2, present=(PresentRun(ref(5), 1),))
+    assert [stop.run for stop in sent(effects, StopRun)] == [ref(5)]
+    assert [end.reason for end in sent(agent.order(ONE), RunEnded)] == ["not accepting"]
+    agent.tick(100)
+    agent.hold(born_ms=2)
+    assert sent(agent.order(ref(1)), StartRun) != []
+
+
+@pytest.mark.parametrize(
+    ("report", "lost"),
+    [
+        (("w", 1, 2), []),
+        (("w", 5, 1), ["lost"]),
+        (("v", 5, 1), ["lost"]),
+        # Held up on its way, from an earlier life at this address.
+        (("u", 0, 9), []),
+    ],
+    ids=["same life", "same id, started again", "other worker", "late report"],
+)
+def test_new_life_of_the_worker_loses_all_runs(
+    agent: AgentDriver, report: tuple[str, int, int], lost: list[str]
+) -> None:
+    running(agent)
+    worker, born_ms, sequence = report
+    effects = agent.handle(agent.report(sequence, worker, born_ms))
+    assert [end.how for end in sent(effects, RunEnded)] == lost
+
+
+def test_runs_of_a_silent_worker_are_lost_once_their_lease_has_lapsed(
+    agent: AgentDriver,
+) -> None:
+    running(agent)
+    effects: list[object] = []
+    for _ in range(200):
+        effects.extend(agent.tick(10))
+        if agent.state.hold_pending:
+            effects.extend(agent.hold(answered=False))
+    ends = sent(effects, RunEnded)
+    assert [(end.how, end.reason) for end in ends] == [("lost", "worker silent")]
+
+
+@pytest.mark.parametrize(
+    ("orders", "free", "accepting"),
+    [(0, 4_000, True), (1, 3_000, True), (3, 1_000, True)],
+)
+def test_room_is_pushed_with_the_newest_order(
+    agent: AgentDriver, orders: int, free: int, accepting: bool
+) -> None:
+    agent.effects.clear()
+    for index in range(orders):
+        agent.order(ref(index), order=index + 1)
+    agent.state.room_dirty = True
+    agent.state.room_sent = None
+    agent.tick(10)
+    room = sent(agent.effects, WorkerRoom)[-1]
+    assert (room.free.cpu, room.accepting) == (free, accepting)
+    assert room.last_order == orders
+
+
+def test_leaving_agent_finishes_its_runs_and_exits(agent: AgentDriver) -> None:
+    running(agent)
+    agent.handle(Drain("signal"))
+    for _ in range(10):
+        assert sent(agent.tick(100), Exit) == []
+        agent.handle(EntryBeat(agent.now_ms))
+    agent.hold(ends=(RunEnd(1, ONE, "done"),))
+    agent.hold()
+    assert sent(agent.tick(200), Exit) == [Exit("drained")]
+
+
+def test_leaving_agent_stops_what_exceeds_the_grace(agent: AgentDriver) -> None:
+    running(agent)
+    agent.handle(Drain("signal"))
+    for _ in range(51):
+        agent.tick(100)
+        agent.handle(EntryBeat(agent.now_ms))
+        agent.hold(present=(PresentRun(ONE, 1),))
+    assert [stop.run for stop in sent(agent.effects, StopRun)] == [ONE]
--- /dev/null
+++ b/tests/decision/burst/test_entry.py
@@ -0,0 +1,333 @@
+"""Tests of the entry's decisions on burst jobs."""
+
+from __future__ import annotations
+
+import pytest
+
+from sardineferry.decision.burst import timing
+from sardineferry.decision.burst.requests import BurstReply
+from sardineferry.decision.burst.requests import CallerLeft
+from sardineferry.decision.burst.requests import CancelJob
+from sardineferry.decision.burst.requests import ConfigurationRead
+from sardineferry.decision.burst.requests import ReplyKind
+from sardineferry.decision.effects import Exit
+from sardineferry.decision.events import Drain
+from sardineferry.decision.events import LinkDown
+from sardineferry.messages.burst import AgentBeat
+from sardineferry.messages.burst import ConfigOffer
+from sardineferry.messages.burst import ConfigRequest
+from sardineferry.messages.burst import ConfigText
+from sardineferry.messages.burst import EntryBeat
+from sardineferry.messages.burst import HeldRuns
+from sardineferry.messages.burst import Resources
+from sardineferry.messages.burst import RunEnded
+from sardineferry.messages.burst import StopRuns
+from tests.decision.burst.drive import TOTAL
+from tests.decision.burst.drive import EntryDriver
+from tests.decision.burst.drive import job
+from tests.decision.burst.drive import ref
+from tests.decision.burst.drive import sent
+from tests.decision.burst.drive import submit
+
+KINDS = ReplyKind
+
+
+@pytest.fixture
+def entry() -> EntryDriver:
+    return EntryDriver()
+
+
+def kinds(entry: EntryDriver) -> list[ReplyKind]:
+    return [reply.kind for reply in sent(entry.effects, BurstReply)]
+
+
+def end_all(entry: EntryDriver, how: str = "done", reason: str = "") -> None:
+    present = [
+        (name, run) for name, view in entry.state.agents.items() for run in view.runs
+    ]
+    for name, run in present:
+        entry.handle(RunEnded(run, how, 100, reason), name)
+
+
+def test_job_is_answered_once_all_its_tasks_are_done(entry: EntryDriver) -> None:
+    entry.handle(submit(1, job(tasks=3)))
+    runs = [run for _, order in entry.orders() for run in order.runs]
+    assert sorted(runs) == [ref(0), ref(1), ref(2)]
+    for name, order in entry.orders():
+        for run in order.runs:
+            assert kinds(entry) == []
+            entry.handle(RunEnded(run, "done", 100, ""), name)
+    assert kinds(entry) == [KINDS.COMPLETED]
+    assert entry.state.jobs == {}
+
+
+def test_end_that_comes_twice_counts_once(entry: EntryDriver) -> None:
+    entry.handle(submit(1, job(tasks=2)))
+    name, order = entry.orders()[0]
+    for _ in range(2):
+        entry.handle(RunEnded(order.runs[0], "done", 100, ""), name)
+    assert kinds(entry) == []
+
+
+@pytest.mark.parametrize(
+    ("submitted", "kind"),
+    [
+        (job(unsupported="gangs"), KINDS.NOT_RUN),
+        (job(need=Resources(9_000)), KINDS.NOT_RUN),
+        (job(label="gpu"), KINDS.NOT_RUN),
+    ],
+    ids=["unsupported", "too large", "no such label"],
+)
+def test_job_that_no_worker_can_run_is_refused_at_once(
+    entry: EntryDriver, submitted: object, kind: ReplyKind
+) -> None:
+    entry.handle(submit(1, submitted))  # type: ignore[arg-type]
+    assert kinds(entry) == [kind]
+    assert entry.orders() == []
+
+
+def test_job_without_a_route_is_unknown(entry: EntryDriver) -> None:
+    entry.handle(submit(1, job())._replace(path="/other/0000000000000001"))
+    assert kinds(entry) == [KINDS.NO_ROUTE]
+
+
+def test_job_waits_for_room_and_is_refused_once_it_is_late(entry: EntryDriver) -> None:
+    entry.handle(submit(1, job(1, tasks=8, estimate_ms=2_000)))
+    entry.handle(submit(2, job(2, estimate_ms=2_000)))
+    assert kinds(entry) == []
+    effects = entry.pass_time(4_500, "ab")
+    replies = sent(effects, BurstReply)
+    assert [(reply.token, reply.kind) for reply in replies] == [(2, KINDS.NOT_RUN)]
+    assert replies[0].retry_after_ms > 0
+    assert all(
+        run.task[:16] == f"{1:016x}" for _, o in entry.orders() for run in o.runs
+    )
+
+
+def test_burst_beyond_capacity_is_refused_at_once(entry: EntryDriver) -> None:
+    for number in range(1, 200):
+        entry.handle(submit(number, job(number, tasks=4, estimate_ms=500)))
+    refused = [
+        reply for reply in sent(entry.effects, BurstReply) if reply.retry_after_ms
+    ]
+    assert len(refused) > 150
+    assert all(reply.kind is KINDS.NOT_RUN for reply in refused)
+
+
+def test_waiting_job_starts_when_room_is_pushed(entry: EntryDriver) -> None:
+    entry.handle(submit(1, job(1, tasks=8)))
+    entry.handle(submit(2, job(2)))
+    before = len(entry.orders())
+    end_all(entry)
+    entry.room("a", TOTAL, last_order=99)
+    assert len(entry.orders()) == before + 1
+
+
+def test_orders_that_a_push_does_not_know_still_take_room(entry: EntryDriver) -> None:
+    entry.handle(submit(1, job(1, tasks=8)))
+    entry.room("a", TOTAL, last_order=0)
+    entry.handle(submit(2, job(2)))
+    assert all(
+        run.task[:16] == f"{1:016x}" for _, o in entry.orders() for run in o.runs
+    )
+
+
+@pytest.mark.parametrize(
+    ("how", "reason", "attempts"),
+    [
+        ("lost", "", [1, 2]),
+        ("failed", "", [1, 2]),
+        ("refused", "no room", [1, 2]),
+        ("refused", "superseded", [1, 10]),
+    ],
+)
+def test_task_is_repeated_with_a_higher_attempt(
+    entry: EntryDriver, how: str, reason: str, attempts: list[int]
+) -> None:
+    entry.handle(submit(1, job()))
+    end_all(entry, how, reason)
+    found = [run.attempt for _, order in entry.orders() for run in order.runs]
+    assert found == attempts
+
+
+def test_repeat_goes_to_another_worker(entry: EntryDriver) -> None:
+    entry.handle(submit(1, job()))
+    end_all(entry, "failed")
+    first, second = (name for name, _ in entry.orders())
+    assert first != second
+
+
+def test_job_fails_once_a_task_is_out_of_attempts(entry: EntryDriver) -> None:
+    entry.handle(submit(1, job(tasks=2)))
+    for _ in range(2):
+        name, order = entry.orders()[-1]
+        entry.handle(RunEnded(order.runs[-1], "failed", 100, ""), name)
+    assert kinds(entry) == [KINDS.FAILED]
+    assert len(sent(entry.effects, StopRuns)) == 1
+
+
+@pytest.mark.parametrize("started", [False, True])
+def test_refusal_is_only_said_of_jobs_that_have_not_begun(
+    entry: EntryDriver, started: bool
+) -> None:
+    entry.handle(submit(1, job()))
+    end_all(entry, "lost" if started else "refused")
+    for name in "ab":
+        entry.handle(LinkDown(name))
+    end_all(entry, "refused")
+    for _ in range(60):
+        entry.tick(100)
+    assert kinds(entry) == [KINDS.FAILED if started else KINDS.NOT_RUN]
+
+
+def test_runs_of_a_silent_agent_are_repeated_only_after_their_bound(
+    entry: EntryDriver,
+) -> None:
+    entry.handle(submit(1, job(tasks=8)))
+    before = len(entry.orders())
+    entry.handle(LinkDown("a"))
+    elapsed_ms = 0
+    while elapsed_ms < timing.GONE_MS - 100:
+        entry.pass_time(100, "b")
+        elapsed_ms += 100
+        assert len(entry.orders()) == before
+    entry.room("b", TOTAL, last_order=99)
+    entry.pass_time(300, "b")
+    assert [name for name, _ in entry.orders()[before:]] == ["b"]
+
+
+def test_agent_that_is_back_keeps_the_runs_that_it_holds(entry: EntryDriver) -> None:
+    entry.handle(submit(1, job(tasks=4)))
+    held = {name: tuple(view.runs) for name, view in entry.state.agents.items()}
+    name = max(held, key=lambda item: len(held[item]))
+    entry.handle(LinkDown(name))
+    entry.link(name)
+    entry.handle(HeldRuns(held[name], 99), name)
+    entry.pass_time(2_000, "ab")
+    assert [run.attempt for _, o in entry.orders() for run in o.runs] == [1] * 4
+
+
+def test_runs_that_a_linked_agent_does_not_hold_are_repeated(
+    entry: EntryDriver,
+) -> None:
+    entry.handle(submit(1, job()))
+    name = entry.orders()[0][0]
+    entry.handle(HeldRuns((), 0), name)
+    assert [run.attempt for _, o in entry.orders() for run in o.runs] == [1, 2]
+
+
+def test_restarted_agent_frees_its_earlier_runs_once_it_accepts(
+    entry: EntryDriver,
+) -> None:
+    entry.handle(submit(1, job(tasks=8)))
+    before = len(entry.orders())
+    entry.handle(LinkDown("a"))
+    entry.link("a", incarnation="2")
+    attempts = [run.attempt for _, o in entry.orders()[before:] for run in o.runs]
+    assert attempts == [2] * 4
+
+
+def test_agent_with_a_stale_stamp_gets_an_order_that_expires(
+    entry: EntryDriver,
+) -> None:
+    entry.tick(300)
+    entry.handle(submit(1, job()))
+    _, order = entry.orders()[0]
+    assert order.expires_ms == entry.now_ms + timing.ORDER_TTL_MS
+
+
+def test_beat_is_echoed(entry: EntryDriver) -> None:
+    assert sent(entry.handle(AgentBeat(77), "a"), EntryBeat) == [EntryBeat(77)]
+
+
+def test_job_that_is_submitted_again_is_answered_to_both(entry: EntryDriver) -> None:
+    entry.handle(submit(1, job()))
+    entry.handle(submit(2, job()))
+    assert len(entry.orders()) == 1
+    end_all(entry)
+    assert sorted(reply.token for reply in sent(entry.effects, BurstReply)) == [1, 2]
+
+
+def test_job_that_comes_back_after_its_caller_left_uses_higher_attempts(
+    entry: EntryDriver,
+) -> None:
+    entry.handle(submit(1, job()))
+    entry.handle(CallerLeft(1))
+    assert len(sent(entry.effects, StopRuns)) == 1
+    entry.handle(submit(2, job()))
+    assert [run.attempt for _, o in entry.orders() for run in o.runs] == [1, 2]
+
+
+@pytest.mark.parametrize(
+    ("name", "expected"), [(1, [KINDS.CANCELLED] * 2), (9, [KINDS.NO_JOB])]
+)
+def test_cancel_answers_canceller_and_submitter(
+    entry: EntryDriver, name: int, expected: list[ReplyKind]
+) -> None:
+    entry.handle(submit(1, job()))
+    entry.handle(CancelJob(2, "desk.example", f"/q/{name:016x}"))
+    assert kinds(entry) == expected
+
+
+def test_worker_that_fails_everything_is_ejected(entry: EntryDriver) -> None:
+    failures = 0
+    for number in range(1, 40):
+        entry.handle(submit(number, job(number)))
+        for name, view in entry.state.agents.items():
+            for run in list(view.runs):
+                how = "failed" if name == "a" else "done"
+                failures += how == "failed"
+                entry.handle(RunEnded(run, how, 100, ""), name)
+                entry.room(name, TOTAL, last_order=99_999)
+        end_all(entry)
+    assert failures <= 4
+
+
+@pytest.mark.parametrize(
+    ("text", "version"),
+    [(b"2", 2), (b"0", 1), (b"1", 1), (b"nonsense", 1)],
+    ids=["newer", "older", "same", "unreadable"],
+)
+def test_only_a_higher_version_is_adopted(
+    entry: EntryDriver, text: bytes, version: int
+) -> None:
+    entry.handle(ConfigurationRead(text))
+    entry.handle(ConfigText(9, text), "a")
+    assert entry.state.configuration.version == version
+
+
+@pytest.mark.parametrize(
+    ("version", "expected"),
+    [(5, [ConfigRequest(5)]), (0, [ConfigOffer(1)]), (1, [])],
+    ids=["newer", "older", "same"],
+)
+def test_offers_of_agents_are_answered(
+    entry: EntryDriver, version: int, expected: list[object]
+) -> None:
+    effects = entry.handle(ConfigOffer(version), "a")
+    assert sent(effects, ConfigRequest) + sent(effects, ConfigOffer) == expected
+
+
+def test_leaving_entry_serves_short_jobs_and_refuses_long_ones(
+    entry: EntryDriver,
+) -> None:
+    entry.handle(Drain("signal"))
+    entry.handle(submit(1, job(1, estimate_ms=100)))
+    entry.handle(submit(2, job(2, estimate_ms=6_000)))
+    assert kinds(entry) == [KINDS.NOT_RUN]
+    assert not entry.state.ready()
+    end_all(entry)
+    assert kinds(entry) == [KINDS.NOT_RUN, KINDS.COMPLETED]
+    effects = entry.pass_time(3_000, "ab")
+    assert sent(effects, Exit) != []
+    entry.handle(submit(3, job(3)))
+    assert kinds(entry)[-1] is KINDS.NOT_RUN
+
+
+def test_leaving_entry_gives_no_answer_to_what_may_have_run(
+    entry: EntryDriver,
+) -> None:
+    entry.handle(submit(1, job(1, estimate_ms=9_000)))
+    entry.handle(Drain("signal"))
+    entry.pass_time(6_000, "ab")
+    assert kinds(entry) == [KINDS.NO_ANSWER]
