Stop runs that make no progress and repeat them elsewhere

The worker lists each run's percent, which the agent now reads; a stalled run is stopped, its end waited for, and the entry repeats it elsewhere and counts it against the worker; an ejected worker is probed with one task. Tests failed before (no such rule).

--- a/src/sardineferry/decision/burst/agent_runs.py
+++ b/src/sardineferry/decision/burst/agent_runs.py
@@ -9,6 +9,7 @@
 from sardineferry.decision.burst.agent_state import Run
 from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.effects import ObserveLatency
+from sardineferry.decision.burst.stalls import is_stalled
 from sardineferry.decision.burst.worker import StartAnswer
 from sardineferry.decision.burst.worker import StartAnswered
 from sardineferry.decision.burst.worker import StartRun
@@ -17,12 +18,16 @@
 from sardineferry.decision.effects import Send
 from sardineferry.messages.burst import ENDED_LOST
 from sardineferry.messages.burst import ENDED_REFUSED
+from sardineferry.messages.burst import REASON_STALLED
 from sardineferry.messages.burst import RunEnded
 from sardineferry.messages.burst import StartRuns
 from sardineferry.messages.burst import StopRuns
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from sardineferry.decision.burst.agent_state import BurstAgentState
+    from sardineferry.decision.burst.worker import PresentRun
     from sardineferry.messages.burst import RunRef
 
 __all__ = [
@@ -32,6 +37,7 @@
     "lose_all",
     "raise_token",
     "repeat_stops",
+    "stop_stalled",
 ]
 
 # An order is repeated, with the same attempt, until the silence bound is over:
@@ -84,7 +90,13 @@
             continue
         room = room.minus(event.need)
         run = Run(
-            ref, owner.name, event.need, event.spec, event.estimate_ms, event.expires_ms
+            ref,
+            owner.name,
+            event.need,
+            event.spec,
+            event.estimate_ms,
+            event.expires_ms,
+            event.movable,
         )
         state.runs[ref] = run
         send_start(state, run, now_ms)
@@ -194,6 +206,7 @@
     if not is_live(run):
         return
     run.advance("stop")
+    run.stop_reason = reason
     fields: dict[str, object] = {
         "task": run.ref.task,
         "attempt": run.ref.attempt,
@@ -204,6 +217,20 @@
     send_stop(state, run)
 
 
+def stop_stalled(
+    state: BurstAgentState, present: Iterable[PresentRun], now_ms: int
+) -> None:
+    """Stop runs that are better repeated elsewhere."""
+    for item in present:
+        run = state.runs.get(item.run)
+        if run is None or run.status != "running":
+            continue
+        elapsed_ms = now_ms - run.started_ms
+        if is_stalled(item.percent, elapsed_ms, run.estimate_ms, run.movable):
+            state.counters["runs_stalled"] += 1
+            begin_stop(state, run, REASON_STALLED)
+
+
 def send_stop(state: BurstAgentState, run: Run) -> None:
     """Order the worker to stop a run."""
     worker_id = state.worker.report.worker_id if state.worker is not None else ""
@@ -239,7 +266,9 @@
 def end_run(
     state: BurstAgentState, run: Run, how: str, reason: str, now_ms: int
 ) -> None:
-    """Free a run's room and tell its entry."""
+    """Free a run's room and tell its entry; a stopped run tells why."""
+    if how == ENDED_LOST and run.stop_reason:
+        reason = run.stop_reason
     state.runs.pop(run.ref, None)
     state.room_dirty = True
     state.last_end_ms = now_ms
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -30,6 +30,7 @@
         "confirmed_ms",
         "estimate_ms",
         "expires_ms",
+        "movable",
         "need",
         "owner",
         "ref",
@@ -37,6 +38,7 @@
         "started_ms",
         "status",
         "stop_due_ms",
+        "stop_reason",
         "tries",
     )
 
@@ -48,6 +50,7 @@
         spec: str,
         estimate_ms: int,
         expires_ms: int,
+        movable: bool,
     ) -> None:
         """Begin as ordered; ``owner`` is the name of the entry."""
         self.ref = ref
@@ -56,10 +59,12 @@
         self.spec = spec
         self.estimate_ms = estimate_ms
         self.expires_ms = expires_ms
+        self.movable = movable
         self.status = load_chart("run").initial
         self.tries = 0
         self.started_ms = 0
         self.confirmed_ms = 0
+        self.stop_reason = ""
         # When a stop without an answer is sent again.
         self.stop_due_ms: int | None = None
 
--- a/src/sardineferry/decision/burst/agent_worker.py
+++ b/src/sardineferry/decision/burst/agent_worker.py
@@ -163,6 +163,7 @@
             agent_runs.end_run(state, run, end.how, end.how, now_ms)
     if len(event.ends) < ENDS_PER_LIST:
         end_vanished(state, present, event.sent_ms, now_ms)
+    agent_runs.stop_stalled(state, event.present, now_ms)
     stop_strays(state, present, event, now_ms)
 
 
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -17,6 +17,7 @@
 from sardineferry.messages.burst import ENDED_FAILED
 from sardineferry.messages.burst import ENDED_LOST
 from sardineferry.messages.burst import ENDED_REFUSED
+from sardineferry.messages.burst import REASON_STALLED
 from sardineferry.messages.burst import AgentBeat
 from sardineferry.messages.burst import EntryBeat
 from sardineferry.messages.burst import EntryWelcome
@@ -191,7 +192,11 @@
         repeat(state, job, task, "failed", now_ms)
         return
     state.counters["runs_lost"] += 1
-    end_probe(state, view, now_ms)
+    if event.reason == REASON_STALLED:
+        task.stalled = True
+        note_failure(state, view, now_ms)
+    else:
+        end_probe(state, view, now_ms)
     repeat(state, job, task, "lost", now_ms)
 
 
--- a/src/sardineferry/decision/burst/entry_placing.py
+++ b/src/sardineferry/decision/burst/entry_placing.py
@@ -96,6 +96,9 @@
         if step.required_label and step.required_label not in profile.labels:
             continue
         room = view.room()
+        if view.health.state == "open" and room.holds(step.need):
+            # A probe of a worker that was ejected risks one task.
+            room = step.need
         if not room.holds(step.need):
             continue
         found.append(
@@ -139,6 +142,7 @@
         job.job.spec,
         step.need,
         step.estimate_ms,
+        movable=not any(task.stalled for task in tasks),
     )
     state.effects.append(Send(view.name, message))
     state.counters["runs_ordered"] += len(tasks)
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -45,6 +45,7 @@
         "failures",
         "index",
         "placed_ms",
+        "stalled",
         "status",
         "tried",
     )
@@ -57,6 +58,8 @@
         self.agent = ""
         self.placed_ms = 0
         self.failures = 0
+        # True once a run was stopped for want of progress.
+        self.stalled = False
         # Agents at which a run failed or was lost.
         self.tried: set[str] = set()
 
--- a/src/sardineferry/messages/burst.py
+++ b/src/sardineferry/messages/burst.py
@@ -14,6 +14,7 @@
     "ENDED_FAILED",
     "ENDED_LOST",
     "ENDED_REFUSED",
+    "REASON_STALLED",
     "AgentBeat",
     "BurstMessage",
     "ConfigOffer",
@@ -39,6 +40,8 @@
 ENDED_LOST = "lost"
 # The run was never started.
 ENDED_REFUSED = "refused"
+# The reason of a lost run that its agent stopped for want of progress.
+REASON_STALLED = "stalled"
 
 
 class Resources(NamedTuple):
@@ -144,7 +147,8 @@
     """Entry to agent: start runs of one job that have the same needs.
 
     The order is void after ``expires_ms`` on the agent's clock. ``estimate_ms``
-    is the submitter's estimate of one task's run time.
+    is the submitter's estimate of one task's run time. ``movable`` tells that
+    the tasks have not been given up for slowness before.
     """
 
     order: int
@@ -153,6 +157,7 @@
     spec: str
     need: Resources
     estimate_ms: int
+    movable: bool
 
 
 class StopRuns(NamedTuple):
--- a/tests/decision/burst/drive.py
+++ b/tests/decision/burst/drive.py
@@ -196,7 +196,7 @@
     def order(
         self, *runs: RunRef, need: Resources = NEED, ttl_ms: int = 400, order: int = 1
     ) -> list[object]:
-        message = StartRuns(order, self.now_ms + ttl_ms, runs, "spec", need, 100)
+        message = StartRuns(order, self.now_ms + ttl_ms, runs, "spec", need, 100, True)
         return self.handle(message)
 
     def answer(
--- a/tests/decision/burst/test_agent.py
+++ b/tests/decision/burst/test_agent.py
@@ -101,7 +101,7 @@
 
 
 def agent_order(agent: AgentDriver, run: RunRef) -> StartRuns:
-    return StartRuns(1, agent.now_ms + 400, (run,), "spec", Resources(1), 100)
+    return StartRuns(1, agent.now_ms + 400, (run,), "spec", Resources(1), 100, True)
 
 
 @pytest.mark.parametrize(
@@ -291,6 +291,7 @@
     effects: list[object] = []
     for _ in range(200):
         effects.extend(agent.tick(10))
+        agent.handle(EntryBeat(agent.now_ms))
         if agent.state.hold_pending:
             effects.extend(agent.hold(answered=False))
     ends = sent(effects, RunEnded)
@@ -334,3 +335,13 @@
         agent.handle(EntryBeat(agent.now_ms))
         agent.hold(present=(PresentRun(ONE, 1),))
     assert [stop.run for stop in sent(agent.effects, StopRun)] == [ONE]
+
+
+def test_stalled_run_is_stopped_and_told_so(agent: AgentDriver) -> None:
+    running(agent)
+    agent.now_ms += 600
+    agent.handle(EntryBeat(agent.now_ms))
+    effects = agent.hold(present=(PresentRun(ONE, 0),))
+    assert [stop.run for stop in sent(effects, StopRun)] == [ONE]
+    effects = agent.hold(ends=(RunEnd(1, ONE, "lost"),))
+    assert [end.reason for end in sent(effects, RunEnded)] == ["stalled"]
