--- a/bench/demo.py
+++ b/bench/demo.py
@@ -5,6 +5,9 @@
 import sys
 import time
 
+from bench.deployed_fleet import DeployedFleet
+from bench.deployed_fleet import make_burst
+from bench.deployed_fleet import submit_burst
 from bench.fleet import Fleet
 from bench.fleet import TargetPlan
 from bench.fleet import call
@@ -34,8 +37,21 @@
     }
 
 
+def demo_burst() -> bool:
+    """Run a burst job over the programs as a platform runs them."""
+    print("Starting a store, 2 entries, 3 agents with leased workers ...")
+    with DeployedFleet(2, 3) as fleet:
+        started_s = time.monotonic()
+        status, answer = submit_burst(
+            fleet.entry(0), "00000000000000d1", make_burst(16, 200)
+        )
+        took_ms = 1_000 * (time.monotonic() - started_s)
+        print(f"HTTP {status}: burst of 16 tasks {answer} in {took_ms:.0f} ms")
+    return bool(answer == {"State": "completed"})
+
+
 def main() -> None:
-    """Start the processes, run the job, print what came back."""
+    """Start the processes, run the jobs, print what came back."""
     print(f"Starting a log, {ENTRIES} entries, {TARGETS} agents with targets ...")
     with Fleet(ENTRIES, [TargetPlan()] * TARGETS) as fleet:
         started_s = time.monotonic()
@@ -46,7 +62,8 @@
             print(f"  {outcome['id']}: {outcome['state']}: {outcome['answer']}")
         print(f"  ... {len(answer['tasks'])} tasks in all")
         print(f"Starts of the most started task: {fleet.most_starts()}")
-    if answer["state"] != "complete":
+    burst_completed = demo_burst()
+    if answer["state"] != "complete" or not burst_completed:
         sys.exit(1)
 
 
