--- /dev/null
+++ b/tests/platform/test_formats.py
@@ -0,0 +1,296 @@
+"""Tests of the platform's formats: what is taken, and what is not."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest
+import yaml
+from returns.pipeline import is_successful
+
+from sardineferry.decision.burst.worker import StartAnswer
+from sardineferry.messages.burst import Resources
+from sardineferry.platform.callers import parse_job
+from sardineferry.platform.configuration import decode_configuration
+from sardineferry.platform.reports import parse_report
+from sardineferry.platform.settings import load_deployment_settings
+from sardineferry.platform.store import keyed_record
+from sardineferry.platform.store import parse_page
+from sardineferry.platform.store import parse_records
+from sardineferry.platform.worker import parse_lists
+from sardineferry.platform.worker import start_answer_of
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+JOB_ID = "5c0e7a21d94b36f8"
+STEP = {"Count": 4, "Cpu": 500, "MemMb": 256, "EstimateMs": 900}
+REPORT = {
+    "Service": "s",
+    "Address": "10.0.0.9:8080",
+    "State": "ready",
+    "Room": {"Cpu": 16_000, "MemMb": 32_768, "Gpu": 0},
+    "Labels": ["a", "r1-3"],
+    "ClockMs": 482_113,
+    "Seq": 4,
+    "born": 1_700_000_000_000,
+    "SomethingNew": [1],
+}
+CONFIG = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "r",
+            "Host": "Nony24.example",
+            "PathPrefix": "/lohu930/",
+            "Type": "non_idempotent",
+            "TimeoutMs": 1_500,
+            "TargetLatencyMs": 60,
+            "Priority": 0,
+            "Service": "s",
+            "Attempts": 2,
+            "SlackFactor": 1.6,
+        }
+    ],
+    "Services": [],
+    "Limits": {"MaxHeaderBytes": 1, "MaxBodyBytes": 2},
+}
+SETTINGS = {
+    "NodeName": "edge-1",
+    "Ip": "10.1.0.13",
+    "Zone": "gresik",
+    "Listen": {"Front": "10.1.0.13:8161", "Ready": "10.1.0.13:8167"},
+    "PortRange": [7_720, 7_735],
+    "Seeds": ["10.1.0.13:8166", "10.2.0.30:8166"],
+    "Bounds": {"GraceS": 6},
+    "platform": {"Address": "10.200.1.7:8169"},
+    "New": {"Field": 1},
+}
+
+
+def test_job_is_decoded_into_its_steps() -> None:
+    body = json.dumps({"Spec": "x", "Steps": [STEP], "Burstable": True}).encode()
+    job = parse_job(JOB_ID, body).unwrap()
+    assert job.steps[0].need == Resources(500, 256, 0)
+    assert (job.steps[0].tasks, job.steps[0].estimate_ms, job.unsupported) == (
+        4,
+        900,
+        "",
+    )
+
+
+@pytest.mark.parametrize(
+    ("fields", "reason"),
+    [
+        ({"Burstable": False}, "jobs that are kept"),
+        ({"Steps": [STEP, STEP]}, "several steps"),
+        ({"Times": 2}, "scheduled jobs"),
+        ({"Daemon": True}, "tasks that last"),
+        ({"Steps": [{**STEP, "Daemon": True}]}, "tasks that last"),
+        ({"Steps": [{**STEP, "Gang": True}]}, "gangs"),
+        ({"Steps": [{**STEP, "SameRack": True}]}, "one rack for all tasks"),
+        ({"Steps": [{**STEP, "Utilization": True}]}, "best-effort tasks"),
+        ({"Steps": [{**STEP, "TargetMs": 5}]}, "latency targets of tasks"),
+    ],
+)
+def test_what_is_not_built_is_named(fields: dict[str, Any], reason: str) -> None:
+    row = {"Spec": "x", "Steps": [STEP], "Burstable": True, **fields}
+    job = parse_job(JOB_ID, json.dumps(row).encode()).unwrap()
+    assert job.unsupported == reason
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"\xff\xfe",
+        b"[]",
+        b'{"Steps":[]}',
+        b'{"Steps":[{"Count":"four"}]}',
+        b'{"Steps":[{"Count":0}]}',
+        b'{"Steps":[{"Cpu":-1}]}',
+        b'{"Spec":1,"Steps":[{}]}',
+        json.dumps({"Spec": "x" * 4_001, "Steps": [STEP]}).encode(),
+    ],
+)
+def test_bad_job_is_an_error(body: bytes) -> None:
+    assert not is_successful(parse_job(JOB_ID, body))
+
+
+def test_report_is_decoded() -> None:
+    seen = parse_report("i-1", json.dumps(REPORT).encode()).unwrap()
+    assert seen.total == Resources(16_000, 32_768, 0)
+    assert (seen.labels, seen.draining, seen.sequence) == (("a", "r1-3"), False, 4)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"State": "sleeping"},
+        {"State": 1},
+        {"Service": None},
+        {"Seq": "4"},
+        {"Room": None},
+        {"Room": {"Cpu": "much"}},
+        {"Room": {"Cpu": -1}},
+        {"Labels": "a"},
+        {"born": "yesterday"},
+    ],
+)
+def test_report_of_another_writer_is_an_error(change: dict[str, Any]) -> None:
+    body = json.dumps({**REPORT, **change}).encode()
+    assert not is_successful(parse_report("i-1", body))
+
+
+@pytest.mark.parametrize("body", [b"", b"\xff", b"[1]", b"{}", b'{"Service":"s"}'])
+def test_unreadable_report_is_an_error(body: bytes) -> None:
+    assert not is_successful(parse_report("i-1", body))
+
+
+def test_configuration_is_decoded() -> None:
+    found = decode_configuration(json.dumps(CONFIG).encode()).unwrap()
+    route = found.routes[0]
+    assert (found.version, route.host, route.goal_ms) == (7, "nony24.example", 60)
+    assert (route.attempts, route.slack_factor) == (2, 1.6)
+    assert (found.limits.header_bytes, found.limits.body_bytes) == (1, 2)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"",
+        b"{",
+        b"\xff",
+        b"[]",
+        b"{}",
+        b'{"Version":"7"}',
+        b'{"Version":7,"Routes":{}}',
+        b'{"Version":7,"Routes":[{"Host":"h"}]}',
+    ],
+)
+def test_bad_configuration_is_an_error(text: bytes) -> None:
+    assert not is_successful(decode_configuration(text))
+
+
+def test_settings_are_decoded(tmp_path: Path) -> None:
+    path = tmp_path / "local.yaml"
+    path.write_text(yaml.safe_dump(SETTINGS))
+    found = load_deployment_settings(path).unwrap()
+    assert found.links == "10.1.0.13:7720"
+    assert found.entry_links == ("10.1.0.13:7720", "10.2.0.30:7720")
+    assert (found.grace_ms, found.worker) == (6_000, "")
+
+
+@pytest.mark.parametrize(
+    ("text", "path"),
+    [
+        ("[", "$"),
+        ("- a", "$"),
+        ("", "$"),
+        (yaml.safe_dump({**SETTINGS, "Ip": 7}), "$.Ip"),
+        (yaml.safe_dump({**SETTINGS, "PortRange": "7720"}), "$.PortRange"),
+        (yaml.safe_dump({**SETTINGS, "Seeds": [1]}), "$.Seeds[0]"),
+        (yaml.safe_dump({**SETTINGS, "platform": {}}), "$.platform"),
+    ],
+)
+def test_bad_settings_name_their_field(tmp_path: Path, text: str, path: str) -> None:
+    file = tmp_path / "local.yaml"
+    file.write_text(text)
+    errors = load_deployment_settings(file).failure()
+    assert [error.path for error in errors] == [path]
+
+
+def test_missing_settings_are_an_error(tmp_path: Path) -> None:
+    errors = load_deployment_settings(tmp_path / "none.yaml").failure()
+    assert "cannot read" in errors[0].reason
+
+
+@pytest.mark.parametrize(
+    ("body", "records"),
+    [
+        (bytes(16), ()),
+        (bytes(16) + b"\0\0\0\2ab\0\0\0\0", (b"ab", b"")),
+    ],
+)
+def test_records_are_decoded(body: bytes, records: tuple[bytes, ...]) -> None:
+    assert parse_records(0, body).unwrap().records == records
+
+
+@pytest.mark.parametrize(
+    "body", [b"", bytes(15), bytes(16) + b"\0\0", bytes(16) + b"\0\0\0\5ab"]
+)
+def test_records_that_are_cut_off_are_an_error(body: bytes) -> None:
+    assert not is_successful(parse_records(0, body))
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"{}", b'{"items":[{"Key":"k","Value":"!"}]}', b'{"items":[1]}']
+)
+def test_bad_page_is_an_error(body: bytes) -> None:
+    assert not is_successful(parse_page(body))
+
+
+@pytest.mark.parametrize(
+    ("key", "value", "record"), [("ab", b"c", b"\x02abc"), ("k", b"", b"\x01k")]
+)
+def test_keyed_record(key: str, value: bytes, record: bytes) -> None:
+    assert keyed_record(key, value) == record
+
+
+def test_key_that_is_too_long_is_an_error() -> None:
+    with pytest.raises(ValueError, match="at most 255"):
+        keyed_record("k" * 256, b"")
+
+
+@pytest.mark.parametrize(
+    ("status", "reason", "answer"),
+    [
+        (0, "", StartAnswer.UNANSWERED),
+        (200, "", StartAnswer.STARTED),
+        (409, "fence", StartAnswer.FENCED),
+        (409, "old", StartAnswer.SUPERSEDED),
+        (409, "late", StartAnswer.LATE),
+        (409, "room", StartAnswer.NO_ROOM),
+        (409, "unheard of", StartAnswer.REJECTED),
+        (421, "", StartAnswer.OTHER_LIFE),
+        (429, "", StartAnswer.REJECTED),
+        (503, "", StartAnswer.REJECTED),
+        (400, "", StartAnswer.REJECTED),
+    ],
+)
+def test_answer_to_a_start(status: int, reason: str, answer: StartAnswer) -> None:
+    assert start_answer_of(status, reason) is answer
+
+
+def test_lists_are_decoded() -> None:
+    body = {
+        "ClockMs": 5,
+        "born": 9,
+        "Running": [["t", 2, "", 41, 500]],
+        "Finished": [
+            [1, "u", 1, "done", ""],
+            [2, "v", 1, "failed", ""],
+            [3, "w", 1, "lapsed", ""],
+        ],
+    }
+    found = parse_lists(json.dumps(body).encode(), 0)
+    assert [(item.run.task, item.percent) for item in found.present] == [("t", 41)]
+    assert [end.how for end in found.ends] == ["done", "failed", "lost"]
+    assert (found.clock_ms, found.born_ms) == (5, 9)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{}",
+        b'{"Running":[[]],"Finished":[]}',
+        b'{"Running":[],"Finished":[["x"]]}',
+        b'{"Running":[["t","two","",1]],"Finished":[]}',
+    ],
+)
+def test_unreadable_lists_count_as_no_answer(body: bytes) -> None:
+    assert not parse_lists(body, 0).answered
