--- a/src/sardineferry/burst/parts.py
+++ b/src/sardineferry/burst/parts.py
@@ -10,13 +10,13 @@
 from sardineferry.decision.burst import BurstAgentCore
 from sardineferry.decision.burst import BurstEntryCore
 from sardineferry.decision.burst.requests import BurstReply
-from sardineferry.entry.waiting import WaitingRequests
 from sardineferry.exposition import Exposition
 from sardineferry.http_server import HttpServer
 from sardineferry.mailbox import Mailbox
 from sardineferry.transport import DialerPool
 from sardineferry.transport import Listener
 from sardineferry.transport.registry import LinkRegistry
+from sardineferry.waiting import WaitingRequests
 
 __all__ = ["AgentParts", "EntryParts", "Startable"]
 
--- a/src/sardineferry/deployment.py
+++ b/src/sardineferry/deployment.py
@@ -18,7 +18,6 @@
 from sardineferry.decision.burst import BurstAgentState
 from sardineferry.decision.burst import BurstEntryCore
 from sardineferry.decision.burst import BurstEntryState
-from sardineferry.entry.waiting import WaitingRequests
 from sardineferry.exposition import Exposition
 from sardineferry.http_server import HttpServer
 from sardineferry.logs import configure_structured_logs
@@ -39,6 +38,7 @@
 from sardineferry.transport import Listener
 from sardineferry.transport import Redial
 from sardineferry.transport.registry import LinkRegistry
+from sardineferry.waiting import WaitingRequests
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/src/sardineferry/entry/application.py
+++ b/src/sardineferry/entry/application.py
@@ -19,8 +19,8 @@
 from sardineferry.decision.effects import DumpAnswer
 from sardineferry.decision.effects import PresetAnswer
 from sardineferry.entry import requests
-from sardineferry.entry.waiting import WaitingRequests
 from sardineferry.messages.job import JobAnswer
+from sardineferry.waiting import WaitingRequests
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sardineferry/platform/callers.py
+++ b/src/sardineferry/platform/callers.py
@@ -31,8 +31,8 @@
     from _typeshed.wsgi import WSGIEnvironment
 
     from sardineferry.decision.burst.configuration import EdgeLimits
-    from sardineferry.entry.waiting import WaitingRequests
     from sardineferry.mailbox import Mailbox
+    from sardineferry.waiting import WaitingRequests
 
 __all__ = ["CallerApplication", "parse_job"]
 
--- a/src/sardineferry/settings/loader.py
+++ b/src/sardineferry/settings/loader.py
@@ -9,7 +9,6 @@
 from typing import Any
 from typing import NamedTuple
 
-import jsonschema
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -65,6 +64,9 @@
 
 def check_document(document: Document) -> Result[Document, Errors]:
     """Check a document against the schema of its role."""
+    # Programs that read other settings start without this, in half the time.
+    import jsonschema
+
     role = document.get("role")
     if role not in ROLES:
         return Failure((SettingsError("$.role", f"must be one of {list(ROLES)}"),))
