Give no order to a relinked agent before it has told what it holds

After a freeze the entry ordered runs in the same batch as its welcome; the agent's list of held runs, written before it read the order, made them seem lost, and they were repeated while they ran. And a job that was given up three goals late was shown as failed without a failed run. Ruled out: the silence and lease bounds (all earlier runs had ended). Now an agent is used once its room has come, which follows the list; a job given up late gets 502, its outcome unknown.

Place by the goal: a job that has not begun starts only where it ends in time; when room is short, on the slowest such worker. Jobs behind one that waits use the workers that it does not wait for.

--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -53,10 +53,12 @@
         view = AgentView(sender, event.data_centre)
         state.agents[sender] = view
     restarted = view.incarnation not in ("", event.incarnation)
+    # No order before the agent has told what it holds: an order that crosses
+    # that list would seem lost, and be repeated while it runs.
+    view.accepting = False
     if view.incarnation != event.incarnation:
         view.stamp_ms = 0
-        view.accepting = False
-        view.reserved.clear()
+        view.forget_orders()
     if restarted:
         # They may run on until their lease lapses or the agent stops them.
         view.orphans.update(view.runs)
@@ -101,12 +103,10 @@
     if view is None:
         return
     view.note_stamp(event.sent_at_ms, now_ms)
-    view.free = event.free
+    view.note_room(event.free, event.last_order)
     if view.accepting != event.accepting:
         view.accepting = event.accepting
         log_agent(state, "agent accepting", view, now_ms)
-    for order in [order for order in view.reserved if order <= event.last_order]:
-        del view.reserved[order]
     if view.accepting and view.orphans:
         # An agent accepts only once its worker runs nothing of before.
         lose_orphans(state, view, "agent restarted", now_ms)
@@ -137,7 +137,7 @@
         placed = view.runs.pop(ref)
         how = ENDED_LOST if placed.order <= event.last_order else ENDED_REFUSED
         settle(state, view, placed, RunEnded(ref, how, 0, "lost with link"), now_ms)
-    view.reserved.clear()
+    view.forget_orders()
 
 
 @handle_entry_event.register(RunEnded)
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -297,7 +297,7 @@
         if not job.started and now_ms > job.give_up_ms:
             finish(state, job, ReplyKind.NOT_RUN, "no room in time", now_ms)
         elif job.started and now_ms > job.arrived_ms + LATE_GOALS * job.goal_ms:
-            finish(state, job, ReplyKind.FAILED, "no room for a repeat", now_ms)
+            finish(state, job, ReplyKind.NO_ANSWER, "no room for a repeat", now_ms)
 
 
 def give_up_all(state: BurstEntryState, now_ms: int) -> None:
--- a/src/sardineferry/decision/burst/entry_placing.py
+++ b/src/sardineferry/decision/burst/entry_placing.py
@@ -1,8 +1,8 @@
 """The entry's rules on placing: which waiting task goes to which agent.
 
-Jobs are served by the time at which they have to start. The first job that
-does not fit takes what room there is and holds back the jobs behind it, so
-that a wide job is not starved by narrow ones.
+Jobs are served by the time at which they have to start. A job that does not
+fit takes what room there is and keeps the jobs behind it from the workers that
+it waits for, so that wide jobs are not starved by narrow ones.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.entry_state import PlacedRun
 from sardineferry.decision.burst.placement import Candidate
+from sardineferry.decision.burst.placement import is_tight
 from sardineferry.decision.burst.placement import place_tasks
 from sardineferry.decision.burst.placement import rank
 from sardineferry.decision.effects import Send
@@ -44,73 +45,104 @@
     if not state.queue:
         return
     state.queue.sort(key=lambda job: (not job.started, job.give_up_ms))
-    blocked: set[tuple[str, str]] = set()
+    usable_views = [view for view in state.agents.values() if usable(view, now_ms)]
+    roomy = {view.name for view in usable_views if view.room.cpu > 0}
+    reserved: set[str] = set()
     for job in list(state.queue):
-        group = (job.route.service, job.step.required_label)
-        if group in blocked:
-            continue
-        place_job(state, job, now_ms)
+        if roomy <= reserved:
+            return
+        views = [view for view in usable_views if fits_job(view, job)]
+        place_job(state, job, views, reserved, now_ms)
         if job.waiting():
-            blocked.add(group)
+            reserved.update(view.name for view in wanted(state, job, views, now_ms))
         else:
             state.queue.remove(job)
 
 
-def place_job(state: BurstEntryState, job: ActiveJob, now_ms: int) -> None:
+def fits_job(view: AgentView, job: ActiveJob) -> bool:
+    """Tell whether a worker is of the job's service and has its label."""
+    label = job.step.required_label
+    return (
+        view.profile is not None
+        and view.profile.service == job.route.service
+        and (not label or label in view.profile.labels)
+    )
+
+
+def ends_in_time(
+    state: BurstEntryState, job: ActiveJob, view: AgentView, now_ms: int
+) -> bool:
+    """Tell whether a task that starts now is expected to keep the goal."""
+    run_ms = job.step.estimate_ms * state.speeds.factor(view.name, view.kind())
+    return now_ms + run_ms <= job.arrived_ms + job.goal_ms
+
+
+def wanted(
+    state: BurstEntryState, job: ActiveJob, views: list[AgentView], now_ms: int
+) -> list[AgentView]:
+    """Return the workers that a job may start on.
+
+    One that has not begun does not start where it would be late, unless it is
+    late everywhere.
+    """
+    if job.started:
+        return views
+    in_time = [view for view in views if ends_in_time(state, job, view, now_ms)]
+    return in_time or views
+
+
+def place_job(
+    state: BurstEntryState,
+    job: ActiveJob,
+    views: list[AgentView],
+    reserved: set[str],
+    now_ms: int,
+) -> None:
     """Place as many tasks of a job as fit; repeats avoid where they failed."""
+    tight = is_tight(
+        sum(view.room.cpu for view in views),
+        sum(view.profile.total.cpu for view in views if view.profile is not None),
+    )
     groups: dict[frozenset[str], list[ActiveTask]] = {}
     for task in job.waiting():
         groups.setdefault(frozenset(task.tried), []).append(task)
+    allowed = [
+        view for view in wanted(state, job, views, now_ms) if view.name not in reserved
+    ]
+    step = job.step
     for tried, tasks in groups.items():
-        place_group(state, job, tasks, tried, now_ms)
-
-
-def place_group(
+        found = [
+            candidate_of(state, job, view, tried, now_ms)
+            for view in allowed
+            if view.room.holds(step.need)
+        ]
+        candidates = rank(found, tight, state.random)
+        left = tasks
+        for name, count in place_tasks(
+            len(tasks), step.need, step.spread_limit, candidates
+        ):
+            chosen, left = left[:count], left[count:]
+            send_order(state, job, state.agents[name], chosen, now_ms)
+
+
+def candidate_of(
     state: BurstEntryState,
     job: ActiveJob,
-    tasks: list[ActiveTask],
+    view: AgentView,
     tried: frozenset[str],
     now_ms: int,
-) -> None:
-    """Place tasks that have been tried at the same agents."""
-    candidates = candidates_for(state, job, tried, now_ms)
-    step = job.step
-    left = list(tasks)
-    for name, count in place_tasks(len(left), step.need, step.spread_limit, candidates):
-        chosen, left = left[:count], left[count:]
-        send_order(state, job, state.agents[name], chosen, now_ms)
-
-
-def candidates_for(
-    state: BurstEntryState, job: ActiveJob, tried: frozenset[str], now_ms: int
-) -> list[Candidate]:
-    """Return the agents that may run a job's tasks, best first."""
-    step = job.step
-    found = []
-    for view in state.agents.values():
-        if not usable(view, now_ms) or view.profile is None:
-            continue
-        profile = view.profile
-        if profile.service != job.route.service:
-            continue
-        if step.required_label and step.required_label not in profile.labels:
-            continue
-        room = view.room()
-        if view.health.state == "open" and room.holds(step.need):
-            # A probe of a worker that was ejected risks one task.
-            room = step.need
-        if not room.holds(step.need):
-            continue
-        found.append(
-            Candidate(
-                view.name,
-                room,
-                state.speeds.factor(view.name, view.kind()),
-                view.data_centre == state.data_centre,
-                view.name in tried,
-            )
-        )
-    return rank(found, state.random)
+) -> Candidate:
+    """Describe a worker for a job."""
+    # A probe of a worker that was ejected risks one task.
+    probe = view.health.state == "open"
+    return Candidate(
+        view.name,
+        job.step.need if probe else view.room,
+        state.speeds.factor(view.name, view.kind()),
+        view.data_centre == state.data_centre,
+        view.name in tried,
+        ends_in_time(state, job, view, now_ms),
+    )
 
 
 def send_order(
@@ -131,7 +163,7 @@
         task.placed_ms = now_ms
         task.advance("place")
         view.runs[job.ref(task)] = PlacedRun(job, task, order)
-    view.reserved[order] = step.need.times(len(tasks))
+    view.reserve(order, step.need.times(len(tasks)))
     view.health.note_sent()
     stamp_age_ms = now_ms - view.stamp_heard_ms
     expires_ms = view.stamp_ms + stamp_age_ms + timing.ORDER_TTL_MS
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -137,7 +137,9 @@
         self.incarnation = ""
         self.linked = False
         self.profile: WorkerProfile | None = None
+        # Room by the agent's last push, and what later orders leave of it.
         self.free = Resources()
+        self.room = Resources()
         self.accepting = False
         # Room taken by orders that the agent's last push did not know.
         self.reserved: dict[int, Resources] = {}
@@ -151,12 +153,25 @@
         self.orphans_gone_ms = 0
         self.health = Health()
 
-    def room(self) -> Resources:
-        """Return the room left by the last push and later orders."""
-        room = self.free
+    def note_room(self, free: Resources, last_order: int) -> None:
+        """Take a push of room that knows orders up to ``last_order``."""
+        self.free = free
+        self.reserved = {
+            order: need for order, need in self.reserved.items() if order > last_order
+        }
+        self.room = free
         for need in self.reserved.values():
-            room = room.minus(need)
-        return room
+            self.room = self.room.minus(need)
+
+    def reserve(self, order: int, need: Resources) -> None:
+        """Subtract an order until a push knows it."""
+        self.reserved[order] = need
+        self.room = self.room.minus(need)
+
+    def forget_orders(self) -> None:
+        """Subtract nothing any more: the next push knows all."""
+        self.reserved.clear()
+        self.room = self.free
 
     def note_stamp(self, stamp_ms: int, now_ms: int) -> None:
         """Take a stamp of the agent's clock."""
--- a/src/sardineferry/decision/burst/placement.py
+++ b/src/sardineferry/decision/burst/placement.py
@@ -1,7 +1,10 @@
 """Chooses workers for the tasks of a job.
 
-Answers workers of unlike speed: a job ends with its slowest task, so each
-task goes to the fastest worker that has room, near ones first among equals.
+Answers workers of unlike speed: a job ends with its slowest task, and is late
+on a worker that is too slow for it. While there is room, each task goes to the
+fastest worker. When room is short, it goes to the slowest worker on which it
+still ends in time, which leaves the fast ones to long jobs and to jobs that
+have waited.
 """
 
 from __future__ import annotations
@@ -16,10 +19,13 @@
     from collections.abc import Iterable
     from random import Random
 
-__all__ = ["Candidate", "place_tasks", "rank"]
+__all__ = ["Candidate", "is_tight", "place_tasks", "rank"]
 
 # Workers within this ratio of speed count as equal.
 SPEED_STEP = 1.15
+# Room is short when less than this share of it is free: a burst of 1.3 times
+# the usual load then fills it within a second.
+TIGHT_SHARE = 0.3
 
 
 class Candidate(NamedTuple):
@@ -30,22 +36,34 @@
     speed: float
     near: bool
     tried: bool
+    in_time: bool
 
 
-def rank(candidates: Iterable[Candidate], random: Random) -> list[Candidate]:
-    """Order workers: untried, fast, near; equals in random order.
+def is_tight(free_cpu: int, total_cpu: int) -> bool:
+    """Tell whether room is short."""
+    return free_cpu < TIGHT_SHARE * total_cpu
+
+
+def rank(
+    candidates: Iterable[Candidate], tight: bool, random: Random
+) -> list[Candidate]:
+    """Order workers: in time, untried, by speed, near; equals at random.
 
     Random order keeps entries that see the same room from racing for it.
     """
-    return sorted(
-        candidates,
-        key=lambda item: (
+
+    def key(item: Candidate) -> tuple[bool, bool, int, bool, float]:
+        step = round(math.log(item.speed, SPEED_STEP))
+        slow_first = tight and item.in_time
+        return (
+            not item.in_time,
             item.tried,
-            round(math.log(item.speed, SPEED_STEP)),
+            -step if slow_first else step,
             not item.near,
             random.random(),
-        ),
-    )
+        )
+
+    return sorted(candidates, key=key)
 
 
 def place_tasks(
