--- a/src/sardineferry/decision/burst/agent_worker.py
+++ b/src/sardineferry/decision/burst/agent_worker.py
@@ -144,6 +144,12 @@
     if not event.answered:
         state.counters["holds_unanswered"] += 1
         state.next_hold_ms = now_ms + RETRY_MS
+        fields: dict[str, object] = {
+            "runs": len(state.runs),
+            "waited_ms": now_ms - event.sent_ms,
+            "answered_ms_ago": now_ms - state.worker_answer_ms,
+        }
+        state.effects.append(LogDecision("hold unanswered", fields))
         return
     if is_other_life(state, event):
         return
