--- a/src/sardineferry/charts/chart.py
+++ b/src/sardineferry/charts/chart.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import functools
-from importlib import resources
+from pathlib import Path
 from typing import NamedTuple
 
 import msgspec
@@ -76,5 +76,5 @@
 @functools.cache
 def load_chart(name: str) -> Chart:
     """Load a chart of this package by its name."""
-    text = resources.files(__package__).joinpath(f"{name}.json").read_bytes()
+    text = Path(__file__).with_name(f"{name}.json").read_bytes()
     return parse_chart(text)
--- a/src/sardineferry/deployment.py
+++ b/src/sardineferry/deployment.py
@@ -53,7 +53,7 @@
 PROGRAM_MB = 60
 THREADS_PER_MB = 3
 THREADS_MIN = 64
-THREADS_MAX = 384
+THREADS_MAX = 192
 # Threads that never wait for jobs: they refuse callers that are too many.
 SPARE_THREADS = 8
 READY_THREADS = 1
--- a/src/sardineferry/settings/loader.py
+++ b/src/sardineferry/settings/loader.py
@@ -4,8 +4,7 @@
 
 import functools
 import json
-from importlib import resources
-from typing import TYPE_CHECKING
+from pathlib import Path
 from typing import Any
 from typing import NamedTuple
 
@@ -17,9 +16,6 @@
 from sardineferry.settings.agent import AgentSettings
 from sardineferry.settings.entry import EntrySettings
 
-if TYPE_CHECKING:
-    from pathlib import Path
-
 __all__ = [
     "SettingsError",
     "check_settings",
@@ -44,7 +40,7 @@
 @functools.cache
 def load_schema() -> Document:
     """Return the schema of all roles."""
-    text = resources.files(__package__).joinpath("schema.json").read_bytes()
+    text = Path(__file__).with_name("schema.json").read_bytes()
     schema: Document = json.loads(text)
     return schema
 
