--- a/src/sardineferry/decision/burst/agent_runs.py
+++ b/src/sardineferry/decision/burst/agent_runs.py
@@ -66,6 +66,8 @@
     owner.last_order = max(owner.last_order, event.order)
     owner.heard_ms = now_ms
     state.room_dirty = True
+    # The next beat was planned for an idle link, which is too late for a run.
+    owner.next_beat_ms = min(owner.next_beat_ms, now_ms + timing.BUSY_BEAT_MS)
     fresh = now_ms <= event.expires_ms
     if fresh:
         owner.alive_until_ms = max(owner.alive_until_ms, event.expires_ms)
--- a/tests/decision/burst/test_agent.py
+++ b/tests/decision/burst/test_agent.py
@@ -16,6 +16,7 @@
 from sardineferry.decision.effects import Exit
 from sardineferry.decision.events import Drain
 from sardineferry.decision.events import LinkDown
+from sardineferry.messages.burst import AgentBeat
 from sardineferry.messages.burst import EntryBeat
 from sardineferry.messages.burst import HeldRuns
 from sardineferry.messages.burst import Resources
@@ -212,6 +213,22 @@
     assert sent(effects, StopRun) == []
 
 
+def test_first_run_on_an_idle_link_is_kept_alive(agent: AgentDriver) -> None:
+    """Incidents: runs were stopped in calm seconds, 400 ms after their start."""
+    agent.tick()
+    agent.handle(EntryBeat(agent.now_ms))
+    agent.now_ms += 20
+    running(agent)
+    stops: list[StopRun] = []
+    for _ in range(40):
+        effects = agent.tick(20)
+        for beat in sent(effects, AgentBeat):
+            agent.handle(EntryBeat(beat.sent_at_ms))
+        effects.extend(agent.hold(present=(PresentRun(ONE, 99),)))
+        stops.extend(sent(effects, StopRun))
+    assert stops == []
+
+
 def test_late_echo_of_an_old_stamp_keeps_nothing_alive(agent: AgentDriver) -> None:
     running(agent)
     stamp_ms = agent.now_ms
