--- a/src/sardineferry/burst/agent.py
+++ b/src/sardineferry/burst/agent.py
@@ -6,18 +6,12 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
-from sardineferry.core_loop import CoreLoop
-from sardineferry.decision.burst.effects import DropLink
-from sardineferry.decision.burst.effects import LogDecision
-from sardineferry.decision.burst.effects import ObserveLatency
+from sardineferry.burst.program import BurstProgram
 from sardineferry.decision.burst.worker import HoldWorker
 from sardineferry.decision.burst.worker import StartRun
 from sardineferry.decision.burst.worker import StopRun
 from sardineferry.decision.effects import Connect
 from sardineferry.decision.events import AddressesRead
-from sardineferry.decision.events import Drain
-from sardineferry.logs import part_logger
-from sardineferry.signals import SignalWatch
 
 if TYPE_CHECKING:
     from sardineferry.burst.parts import AgentParts
@@ -25,23 +19,17 @@
 
 __all__ = ["BurstAgentProcess"]
 
-STEP_S = 0.5
 # For what is on its way to entries when the core has ended.
 FLUSH_S = 0.1
 
-logger = part_logger("agent")
 
-
-class BurstAgentProcess:
+class BurstAgentProcess(BurstProgram):
     """Owns the threads of an agent."""
 
     def __init__(self, parts: AgentParts) -> None:
         """Take the parts; their addresses are bound, their threads not started."""
+        super().__init__("agent", parts.core, parts)
         self.parts = parts
-        self.loop: CoreLoop[BurstEffect] = CoreLoop(
-            parts.core, parts.mailbox, self.perform, parts.links
-        )
-        self.signals = SignalWatch(lambda: None, parts.settings_watch.reload)
 
     def start(self) -> None:
         """Start every thread."""
@@ -55,34 +43,24 @@
             watch.start()
         parts.exposition.start()
         state = parts.core.state
-        logger.bind(
+        self.logger.bind(
             name=state.name,
             incarnation=state.incarnation,
             token=state.fencing_token,
         ).info("Started.")
 
-    def run(self) -> None:
-        """Serve until a signal asks to drain, then finish and leave."""
-        self.signals.install()
-        self.start()
-        while not self.signals.wait_for_drain(STEP_S):
-            self.parts.settings_watch.check()
-        self.drain()
-
-    def drain(self) -> None:
-        """Finish what runs within the grace, then stop."""
+    def stop(self) -> None:
+        """Stop every thread; what is on its way to entries leaves first."""
         parts = self.parts
-        parts.mailbox.put(Drain("signal"))
-        self.loop.exited.wait(parts.settings_watch.settings.grace_ms / 1_000)
         parts.dialers.stop()
         parts.links.close_all()
-        logger.info("Stopped.")
+        self.logger.info("Stopped.")
         time.sleep(FLUSH_S)
 
     @singledispatchmethod
     def perform(self, effect: BurstEffect) -> None:
-        """Carry out an effect; unknown kinds are a programming error."""
-        raise TypeError(f"no way to perform {type(effect).__name__}")
+        """Carry out an effect."""
+        super().perform(effect)
 
     @perform.register(StartRun)
     @perform.register(StopRun)
@@ -99,18 +77,3 @@
     def connect(self, effect: Connect) -> None:
         """Open a link to an entry."""
         self.parts.dialers.dial(effect.address)
-
-    @perform.register
-    def drop_link(self, effect: DropLink) -> None:
-        """End a silent link; it is dialled anew."""
-        self.parts.links.abort(effect.name)
-
-    @perform.register
-    def log_decision(self, effect: LogDecision) -> None:
-        """Write a log line."""
-        logger.bind(**effect.fields).info(effect.event)
-
-    @perform.register
-    def observe(self, effect: ObserveLatency) -> None:
-        """Count a latency."""
-        self.parts.exposition.observe(effect.what, effect.outcome, effect.elapsed_ms)
--- a/src/sardineferry/burst/entry.py
+++ b/src/sardineferry/burst/entry.py
@@ -6,15 +6,9 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
-from sardineferry.core_loop import CoreLoop
-from sardineferry.decision.burst.effects import DropLink
-from sardineferry.decision.burst.effects import LogDecision
-from sardineferry.decision.burst.effects import ObserveLatency
+from sardineferry.burst.program import BurstProgram
 from sardineferry.decision.burst.requests import BurstReply
 from sardineferry.decision.burst.requests import ReplyKind
-from sardineferry.decision.events import Drain
-from sardineferry.logs import part_logger
-from sardineferry.signals import SignalWatch
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -28,7 +22,6 @@
 
 __all__ = ["BurstEntryProcess", "ReadyApplication"]
 
-STEP_S = 0.5
 # For answers that are on their way to callers when the core has ended.
 FLUSH_S = 0.15
 
@@ -37,8 +30,6 @@
 # Other entries serve at once.
 RETRY_AFTER_MS = 500
 
-logger = part_logger("entry")
-
 
 class ReadyApplication:
     """A WSGI application for the balancer's checks."""
@@ -56,16 +47,13 @@
         return [b""]
 
 
-class BurstEntryProcess:
+class BurstEntryProcess(BurstProgram):
     """Owns the threads of an entry."""
 
     def __init__(self, parts: EntryParts) -> None:
         """Take the parts; their addresses are bound, their threads not started."""
+        super().__init__("entry", parts.core, parts)
         self.parts = parts
-        self.loop: CoreLoop[BurstEffect] = CoreLoop(
-            parts.core, parts.mailbox, self.perform, parts.links
-        )
-        self.signals = SignalWatch(lambda: None, parts.settings_watch.reload)
 
     def start(self) -> None:
         """Start every thread; callers come last."""
@@ -78,28 +66,23 @@
         parts.callers.start()
         parts.readiness.start()
         state = parts.core.state
-        logger.bind(name=state.name, incarnation=state.incarnation).info("Started.")
-
-    def run(self) -> None:
-        """Serve until a signal asks to drain, then finish and leave."""
-        self.signals.install()
-        self.start()
-        while not self.signals.wait_for_drain(STEP_S):
-            self.parts.settings_watch.check()
-        self.drain()
-
-    def drain(self) -> None:
-        """Finish what is in flight within the grace, then stop."""
+        self.logger.bind(name=state.name, incarnation=state.incarnation).info(
+            "Started."
+        )
+
+    def begin_drain(self) -> None:
+        """Close each caller's connection with its next answer."""
+        self.parts.callers.leave()
+
+    def stop(self) -> None:
+        """Stop every thread; what comes meanwhile is refused."""
         parts = self.parts
-        parts.callers.leave()
-        parts.mailbox.put(Drain("signal"))
-        self.loop.exited.wait(parts.settings_watch.settings.grace_ms / 1_000)
         self.refuse_late(FLUSH_S)
         parts.callers.stop()
         parts.readiness.stop()
         parts.links.close_all()
         parts.listener.stop()
-        logger.info("Stopped.")
+        self.logger.info("Stopped.")
         self.refuse_late(FLUSH_S)
 
     def refuse_late(self, duration_s: float) -> None:
@@ -118,25 +101,10 @@
 
     @singledispatchmethod
     def perform(self, effect: BurstEffect) -> None:
-        """Carry out an effect; unknown kinds are a programming error."""
-        raise TypeError(f"no way to perform {type(effect).__name__}")
+        """Carry out an effect."""
+        super().perform(effect)
 
     @perform.register
     def reply(self, effect: BurstReply) -> None:
         """Answer a waiting caller."""
         self.parts.waiting.answer(effect.token, effect)
-
-    @perform.register
-    def drop_link(self, effect: DropLink) -> None:
-        """End a silent link."""
-        self.parts.links.abort(effect.name)
-
-    @perform.register
-    def log_decision(self, effect: LogDecision) -> None:
-        """Write a log line."""
-        logger.bind(**effect.fields).info(effect.event)
-
-    @perform.register
-    def observe(self, effect: ObserveLatency) -> None:
-        """Count a latency."""
-        self.parts.exposition.observe(effect.what, effect.outcome, effect.elapsed_ms)
--- a/src/sardineferry/deployment.py
+++ b/src/sardineferry/deployment.py
@@ -83,6 +83,19 @@
     return max(THREADS_MIN, min(THREADS_MAX, threads))
 
 
+def watch_entries(
+    settings: DeploymentSettings, mailbox: Mailbox, source: random.Random
+) -> TopicWatch:
+    """Return what follows the entries' addresses on the store."""
+    return TopicWatch(
+        ENTRIES_TOPIC,
+        settings.store,
+        ENTRIES_WAIT_MS,
+        source,
+        hand_over_addresses(mailbox),
+    )
+
+
 def build_deployed_entry(
     settings: DeploymentSettings, path: Path, metrics_port: int
 ) -> BurstEntryProcess:
@@ -112,13 +125,7 @@
             source,
             hand_over_configuration(mailbox),
         ),
-        TopicWatch(
-            ENTRIES_TOPIC,
-            settings.store,
-            ENTRIES_WAIT_MS,
-            source,
-            hand_over_addresses(mailbox),
-        ),
+        watch_entries(settings, mailbox, source),
         EntryRegistration(
             settings.name, settings.links, state.incarnation, settings.store
         ),
@@ -180,15 +187,7 @@
             REPORT_THREADS,
             REPORT_LIMIT_BYTES,
         ),
-        watches=(
-            TopicWatch(
-                ENTRIES_TOPIC,
-                settings.store,
-                ENTRIES_WAIT_MS,
-                source,
-                hand_over_addresses(mailbox),
-            ),
-        ),
+        watches=(watch_entries(settings, mailbox, source),),
         exposition=Exposition(settings.ip, state.counters, metrics_port),
         settings_watch=SettingsWatch(path, load_deployment_settings, settings, mailbox),
     )
