--- a/src/sardineferry/burst/entry.py
+++ b/src/sardineferry/burst/entry.py
@@ -6,7 +6,9 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
+from sardineferry.burst.program import MS_PER_S
 from sardineferry.burst.program import BurstProgram
+from sardineferry.decision.burst.effects import ApplyLimits
 from sardineferry.decision.burst.requests import BurstReply
 from sardineferry.decision.burst.requests import ReplyKind
 
@@ -108,3 +110,10 @@
     def reply(self, effect: BurstReply) -> None:
         """Answer a waiting caller."""
         self.parts.waiting.answer(effect.token, effect)
+
+    @perform.register
+    def apply_limits(self, effect: ApplyLimits) -> None:
+        """Bound headers and idle connections; the application bounds bodies."""
+        limits = effect.limits
+        idle_s = max(1, limits.idle_timeout_ms // MS_PER_S)
+        self.parts.callers.apply_limits(limits.header_bytes, idle_s)
--- a/src/sardineferry/burst/program.py
+++ b/src/sardineferry/burst/program.py
@@ -22,7 +22,7 @@
     from sardineferry.mailbox import Mailbox
     from sardineferry.transport.registry import LinkRegistry
 
-__all__ = ["BurstProgram"]
+__all__ = ["MS_PER_S", "BurstProgram"]
 
 # Between looks at the settings file.
 STEP_S = 0.5
--- a/src/sardineferry/decision/burst/agent_links.py
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -39,7 +39,8 @@
 # Changes of room within this time travel in one push; an entry that places by
 # older room is refused, which costs it a round trip of about 3 ms.
 ROOM_GAP_MS = 4
-# An entry that lost its link asks for ends of this long ago at the most.
+# Ends are told again on a new link for this long: an entry has given up a run
+# of an agent that was away for longer.
 ENDS_RESENT_MS = 10_000
 
 
--- a/src/sardineferry/decision/burst/effects.py
+++ b/src/sardineferry/decision/burst/effects.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from sardineferry.decision.burst.configuration import EdgeLimits
 from sardineferry.decision.burst.requests import BurstReply
 from sardineferry.decision.burst.worker import HoldWorker
 from sardineferry.decision.burst.worker import StartRun
@@ -12,7 +13,7 @@
 from sardineferry.decision.effects import Exit
 from sardineferry.decision.effects import Send
 
-__all__ = ["BurstEffect", "DropLink", "LogDecision", "ObserveLatency"]
+__all__ = ["ApplyLimits", "BurstEffect", "DropLink", "LogDecision", "ObserveLatency"]
 
 
 class DropLink(NamedTuple):
@@ -31,6 +32,12 @@
     fields: dict[str, object]
 
 
+class ApplyLimits(NamedTuple):
+    """Apply a configuration's limits to what callers send."""
+
+    limits: EdgeLimits
+
+
 class ObserveLatency(NamedTuple):
     """Count the time that a job or a run took, by its outcome."""
 
@@ -40,7 +47,8 @@
 
 
 BurstEffect = (
-    BurstReply
+    ApplyLimits
+    | BurstReply
     | Connect
     | DropLink
     | Exit
--- a/src/sardineferry/decision/burst/entry_config.py
+++ b/src/sardineferry/decision/burst/entry_config.py
@@ -6,6 +6,7 @@
 
 from returns.pipeline import is_successful
 
+from sardineferry.decision.burst.effects import ApplyLimits
 from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.entry_rules import handle_entry_event
 from sardineferry.decision.burst.requests import ConfigurationRead
@@ -52,6 +53,7 @@
     if not state.relay.adopt(configuration.version, text):
         return
     state.configuration = configuration
+    state.effects.append(ApplyLimits(configuration.limits))
     fields = {
         "version": configuration.version,
         "held": held,
--- a/src/sardineferry/http_server.py
+++ b/src/sardineferry/http_server.py
@@ -108,6 +108,11 @@
         except OSError as error:
             logger.debug("HTTP server ended: {}.", error)
 
+    def apply_limits(self, header_bytes: int, idle_timeout_s: int) -> None:
+        """Bound the headers of requests to come, and idle connections."""
+        self.server.adj.max_request_header_size = header_bytes
+        self.server.adj.channel_timeout = idle_timeout_s
+
     def leave(self) -> None:
         """Close each connection with its next answer."""
         self.server.leaving = True  # type: ignore[union-attr]
--- a/tests/decision/burst/test_entry.py
+++ b/tests/decision/burst/test_entry.py
@@ -5,6 +5,8 @@
 import pytest
 
 from sardineferry.decision.burst import timing
+from sardineferry.decision.burst.configuration import EdgeLimits
+from sardineferry.decision.burst.effects import ApplyLimits
 from sardineferry.decision.burst.requests import BurstReply
 from sardineferry.decision.burst.requests import CallerLeft
 from sardineferry.decision.burst.requests import CancelJob
@@ -346,3 +348,10 @@
     entry.handle(HeldRuns((), 0), "a")
     entry.room("a", TOTAL)
     assert len(entry.orders()) == 1
+
+
+def test_adopted_configuration_applies_its_limits(entry: EntryDriver) -> None:
+    entry.configuration = entry.configuration._replace(limits=EdgeLimits(1, 2, 3, 4))
+    effects = entry.handle(ConfigurationRead(b"2"))
+    assert sent(effects, ApplyLimits) == [ApplyLimits(EdgeLimits(1, 2, 3, 4))]
+    assert sent(entry.handle(ConfigurationRead(b"2")), ApplyLimits) == []
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -33,3 +33,17 @@
     server.stop()
     assert (before.status, before.getheader("Connection")) == (200, None)
     assert (after.status, after.getheader("Connection")) == (200, "close")
+
+
+def test_applied_limits_bound_headers_and_idle_connections() -> None:
+    server = HttpServer(hello, "127.0.0.1:0", 1, 1_000)
+    server.start()
+    server.apply_limits(header_bytes=200, idle_timeout_s=1)
+    connection = http.client.HTTPConnection("127.0.0.1", server.port, timeout=20)
+    connection.request("GET", "/", headers={"X-Long": "x" * 300})
+    assert connection.getresponse().status == 431
+    idle = http.client.HTTPConnection("127.0.0.1", server.port, timeout=20)
+    idle.connect()
+    assert idle.sock is not None
+    assert idle.sock.recv(1) == b""
+    server.stop()
