--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -96,7 +96,6 @@
     def __init__(self, seen: WorkerSeen, now_ms: int) -> None:
         """Begin with the first report."""
         self.report = seen
-        self.heard_ms = now_ms
         self.clock_ms = seen.clock_ms
         self.clock_read_ms = now_ms
 
--- a/src/sardineferry/decision/burst/agent_worker.py
+++ b/src/sardineferry/decision/burst/agent_worker.py
@@ -43,7 +43,6 @@
     if worker is not None and same:
         if event.sequence <= worker.report.sequence:
             return
-        worker.heard_ms = now_ms
         if event.draining != worker.report.draining:
             state.room_dirty = True
             log_worker(state, "worker draining", event)
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -11,6 +11,7 @@
 from sardineferry.decision.burst.entry_rules import handle_entry_event
 from sardineferry.decision.burst.entry_state import AgentView
 from sardineferry.decision.burst.requests import ReplyKind
+from sardineferry.decision.burst.worker import StartAnswer
 from sardineferry.decision.effects import Send
 from sardineferry.decision.events import LinkDown
 from sardineferry.messages.burst import ENDED_DONE
@@ -38,7 +39,6 @@
 # Added to the attempt of a task that a worker has seen under a later attempt,
 # from a submission through another entry.
 ATTEMPT_STEP = 8
-SUPERSEDED = "superseded"
 # Agents that are gone for this long are forgotten.
 FORGET_MS = 120_000
 
@@ -174,7 +174,7 @@
     job, task = placed.job, placed.task
     if event.how == ENDED_REFUSED:
         state.counters["runs_refused"] += 1
-        if event.reason == SUPERSEDED:
+        if event.reason == StartAnswer.SUPERSEDED.value:
             task.attempt += ATTEMPT_STEP
         end_probe(state, view, now_ms)
         repeat(state, job, task, "refused", now_ms)
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -27,7 +27,7 @@
     from sardineferry.decision.burst.entry_state import BurstEntryState
     from sardineferry.messages.burst import RunRef
 
-__all__ = ["check_queue", "finish", "give_up_all", "stop_job"]
+__all__ = ["check_queue", "finish", "give_up_all"]
 
 # Nobody earns or plans by an answer this many response-time goals late.
 LATE_GOALS = 3
--- a/src/sardineferry/decision/burst/entry_placing.py
+++ b/src/sardineferry/decision/burst/entry_placing.py
@@ -160,7 +160,6 @@
         task.attempt += 1
         job.attempt = max(job.attempt, task.attempt)
         task.agent = view.name
-        task.placed_ms = now_ms
         task.advance("place")
         view.runs[job.ref(task)] = PlacedRun(job, task, order)
     view.reserve(order, step.need.times(len(tasks)))
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -44,7 +44,6 @@
         "attempt",
         "failures",
         "index",
-        "placed_ms",
         "stalled",
         "status",
         "tried",
@@ -56,7 +55,6 @@
         self.status = load_chart("burst_task").initial
         self.attempt = attempt
         self.agent = ""
-        self.placed_ms = 0
         self.failures = 0
         # True once a run was stopped for want of progress.
         self.stalled = False
--- a/src/sardineferry/transport/dialer.py
+++ b/src/sardineferry/transport/dialer.py
@@ -24,7 +24,7 @@
     from sardineferry.mailbox import Mailbox
     from sardineferry.transport.registry import LinkRegistry
 
-__all__ = ["Dialer", "Redial"]
+__all__ = ["DEFAULT_REDIAL", "Dialer", "Redial"]
 
 JOIN_TIMEOUT_S = 3.0
 
@@ -38,6 +38,9 @@
     delay_cap_ms: int = 1_000
 
 
+DEFAULT_REDIAL = Redial()
+
+
 class Dialer:
     """A thread that owns the link to one address."""
 
@@ -47,7 +50,7 @@
         mailbox: Mailbox,
         links: LinkRegistry,
         random: Random,
-        redial: Redial = Redial(),  # noqa: B008
+        redial: Redial = DEFAULT_REDIAL,
     ) -> None:
         """Name the address, which also names the link."""
         self.redial = redial
--- a/src/sardineferry/transport/dialer_pool.py
+++ b/src/sardineferry/transport/dialer_pool.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from sardineferry.transport.dialer import DEFAULT_REDIAL
 from sardineferry.transport.dialer import Dialer
 from sardineferry.transport.dialer import Redial
 
@@ -24,7 +25,7 @@
         mailbox: Mailbox,
         links: LinkRegistry,
         random: Random,
-        redial: Redial = Redial(),  # noqa: B008
+        redial: Redial = DEFAULT_REDIAL,
     ) -> None:
         """Start without dialers."""
         self.redial = redial
