Carry links on plain TCP connections instead of gRPC streams

With 3 entries, 11 agents and 75 jobs/s on this machine an entry took 31-33% of a core and an idle one 6.3-6.9%, most of it in gRPC's threads by a sampling profiler.

Ruled out: the decisions (the core's thread was 5% of the samples), logs.

--- a/bench/deployed_fleet.py
+++ b/bench/deployed_fleet.py
@@ -132,7 +132,6 @@
                 stderr=stream,
                 env={
                     **os.environ,
-                    "GRPC_VERBOSITY": "ERROR",
                     "SARDINEFERRY_SETTINGS": str(settings or ""),
                     "SARDINEFERRY_METRICS_PORT": str(self.metrics),
                 },
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -140,7 +140,7 @@
                 [str(BIN / program), *arguments],
                 stdout=stream,
                 stderr=stream,
-                env={**os.environ, "GRPC_VERBOSITY": "ERROR"},
+                env=dict(os.environ),
             )
 
     def settings_file(self, name: str, settings: dict[str, object]) -> str:
--- a/src/sardineferry/transport/__init__.py
+++ b/src/sardineferry/transport/__init__.py
@@ -1,4 +1,4 @@
-"""Long-lived gRPC streams that carry batches of messages."""
+"""Long-lived TCP connections that carry batches of messages."""
 
 from __future__ import annotations
 
--- a/src/sardineferry/transport/dialer.py
+++ b/src/sardineferry/transport/dialer.py
@@ -2,21 +2,23 @@
 
 from __future__ import annotations
 
+import socket
 import threading
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-import grpc
-
 from sardineferry.decision.budget import backoff_ms
 from sardineferry.decision.events import LinkDown
 from sardineferry.decision.events import LinkUp
 from sardineferry.logs import part_logger
 from sardineferry.messages import CodecError
 from sardineferry.messages import decode_frame
+from sardineferry.transport.link import end_link
+from sardineferry.transport.link import serve_outbox
 from sardineferry.transport.outbox import Outbox
-from sardineferry.transport.service import CHANNEL_OPTIONS
-from sardineferry.transport.service import METHOD_PATH
+from sardineferry.transport.stream import FrameStream
+from sardineferry.transport.stream import StreamError
+from sardineferry.transport.stream import split_address
 
 if TYPE_CHECKING:
     from random import Random
@@ -84,34 +86,34 @@
 
     def connect(self) -> bool:
         """Hold one connection until it ends; tell whether it was made."""
-        with grpc.insecure_channel(self.address, options=CHANNEL_OPTIONS) as channel:
-            try:
-                grpc.channel_ready_future(channel).result(self.redial.connect_timeout_s)
-            except grpc.FutureTimeoutError:
-                return False
-            self.exchange(channel)
-            return True
-
-    def exchange(self, channel: grpc.Channel) -> None:
+        try:
+            connection = socket.create_connection(
+                split_address(self.address), self.redial.connect_timeout_s
+            )
+            stream = FrameStream(connection)
+        except OSError as error:
+            logger.debug("Link to {} can't be opened: {}.", self.address, error)
+            return False
+        self.exchange(stream)
+        return True
+
+    def exchange(self, stream: FrameStream) -> None:
         """Pass messages on until the stream ends."""
         outbox = Outbox()
+        outbox.abort = stream.abort
         self.links.open(self.address, outbox)
         self.mailbox.put(LinkUp(self.address))
+        writer = serve_outbox(stream, outbox)
         logger.info("Link to {} opened.", self.address)
-        method: grpc.StreamStreamMultiCallable[bytes, bytes]
-        method = channel.stream_stream(METHOD_PATH)
-        stream = method(outbox.drain())
-        outbox.abort = stream.cancel
         try:
-            for frame in stream:
+            for frame in stream.read():
                 self.mailbox.put_all(decode_frame(frame), self.address)
         except CodecError as error:
             logger.warning("Link to {} sent a bad frame: {}.", self.address, error)
-        except grpc.RpcError as error:
+        except StreamError as error:
             logger.debug("Link to {} broke: {}.", self.address, error)
-        finally:
-            stream.cancel()
-            outbox.close()
-            self.links.close(self.address, outbox)
-            logger.info("Link to {} closed.", self.address)
-            self.mailbox.put(LinkDown(self.address))
+            stream.abort()
+        self.links.close(self.address, outbox)
+        logger.info("Link to {} closed.", self.address)
+        self.mailbox.put(LinkDown(self.address))
+        end_link(stream, outbox, writer)
--- a/src/sardineferry/transport/listener.py
+++ b/src/sardineferry/transport/listener.py
@@ -1,13 +1,11 @@
-"""Accepts links: one gRPC stream each, named by its first message."""
+"""Accepts links: one connection each, named by its first message."""
 
 from __future__ import annotations
 
+import socket
 import threading
-from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
-import grpc
-
 from sardineferry.decision.events import LinkDown
 from sardineferry.logs import part_logger
 from sardineferry.messages import CodecError
@@ -15,10 +13,12 @@
 from sardineferry.messages.burst import WorkerAnnounce
 from sardineferry.messages.wire import Announce
 from sardineferry.messages.wire import PeerHello
+from sardineferry.transport.link import end_link
+from sardineferry.transport.link import serve_outbox
 from sardineferry.transport.outbox import Outbox
-from sardineferry.transport.service import CHANNEL_OPTIONS
-from sardineferry.transport.service import METHOD
-from sardineferry.transport.service import SERVICE
+from sardineferry.transport.stream import FrameStream
+from sardineferry.transport.stream import StreamError
+from sardineferry.transport.stream import split_address
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -29,8 +29,8 @@
 
 __all__ = ["Listener", "ListenerError"]
 
-LINK_LIMIT = 1_000
-STOP_GRACE_S = 0.2
+# Connections that wait to be accepted: all agents may dial at once.
+BACKLOG = 1_024
 
 logger = part_logger("listener")
 
@@ -40,7 +40,7 @@
 
 
 class Listener:
-    """A gRPC server whose streams feed the core's mailbox."""
+    """A listening socket whose links feed the core's mailbox."""
 
     def __init__(self, address: str, mailbox: Mailbox, links: LinkRegistry) -> None:
         """Bind the address; port 0 lets the system choose.
@@ -51,52 +51,58 @@
         """
         self.mailbox = mailbox
         self.links = links
-        self.server = grpc.server(
-            ThreadPoolExecutor(LINK_LIMIT, thread_name_prefix="link"),
-            options=CHANNEL_OPTIONS,
-        )
-        handler: grpc.RpcMethodHandler[bytes, bytes] = (
-            grpc.stream_stream_rpc_method_handler(self.exchange)
-        )
-        self.server.add_generic_rpc_handlers(
-            (grpc.method_handlers_generic_handler(SERVICE, {METHOD: handler}),)
-        )
         try:
-            self.port = self.server.add_insecure_port(address)
-        except RuntimeError as error:
+            self.socket = socket.create_server(split_address(address), backlog=BACKLOG)
+        except OSError as error:
             raise ListenerError(f"cannot listen on {address}") from error
+        self.port: int = self.socket.getsockname()[1]
+        self.thread = threading.Thread(target=self.accept, name="accept", daemon=True)
 
     def start(self) -> None:
         """Accept links."""
-        self.server.start()
+        self.thread.start()
 
     def stop(self) -> None:
-        """End all links after a grace."""
-        self.server.stop(STOP_GRACE_S).wait()
+        """Accept no more links; those that are open end with their outboxes."""
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError as error:
+            logger.debug("Listening socket was closed before: {}.", error)
+        self.socket.close()
+
+    def accept(self) -> None:
+        """Give each connection a thread that reads it."""
+        while True:
+            try:
+                connection, _peer = self.socket.accept()
+                stream = FrameStream(connection)
+            except OSError as error:
+                if self.socket.fileno() < 0:
+                    return
+                logger.warning("Accepting a link fails: {}.", error)
+                continue
+            reader = threading.Thread(target=self.serve, args=(stream,), daemon=True)
+            reader.start()
 
-    def exchange(
-        self, frames: Iterator[bytes], context: grpc.ServicerContext
-    ) -> Iterator[bytes]:
-        """Serve one stream: a thread reads it, this generator writes."""
+    def serve(self, stream: FrameStream) -> None:
+        """Serve one link until it ends."""
         try:
+            frames = stream.read()
             messages = decode_frame(next(frames))
             name = name_of(messages)
-        except (StopIteration, CodecError) as error:
+        except (StopIteration, CodecError, StreamError) as error:
             logger.warning("Rejected a link: {}.", error)
-            context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+            stream.close()
+            return
         outbox = Outbox()
-        outbox.abort = context.cancel
+        outbox.abort = stream.abort
         self.links.open(name, outbox)
         self.mailbox.put_all(messages, name)
-        reader = threading.Thread(
-            target=self.read, args=(frames, name, outbox), daemon=True
-        )
-        reader.start()
+        writer = serve_outbox(stream, outbox)
         logger.info("Link to {} opened.", name)
-        try:
-            yield from outbox.drain()
-        finally:
-            self.end(name, outbox)
+        self.read(frames, name, outbox)
+        self.end(name, outbox)
+        end_link(stream, outbox, writer)
 
     def read(self, frames: Iterator[bytes], name: str, outbox: Outbox) -> None:
         """Pass messages on until the stream ends or is replaced."""
@@ -108,13 +114,8 @@
                 self.mailbox.put_all(messages, name)
         except CodecError as error:
             logger.warning("Link to {} sent a bad frame: {}.", name, error)
-        except grpc.RpcError:
-            logger.debug("Link to {} broke.", name)
-        except Exception as error:
-            # grpcio raises a bare Exception when a client stream breaks.
+        except StreamError as error:
             logger.debug("Link to {} broke: {}.", name, error)
-        finally:
-            outbox.close()
 
     def end(self, name: str, outbox: Outbox) -> None:
         """Report the end of a link that was not replaced."""
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
+import socket
 from typing import TYPE_CHECKING
 
 import pytest
@@ -109,3 +111,37 @@
     assert list(older.drain()) == []
     assert not links.close("agent-0", older)
     assert links.is_current("agent-0", newer)
+
+
+def test_peer_that_does_not_read_does_not_hold_the_link(near: End) -> None:
+    # Accepts by its backlog alone and reads nothing, as a frozen process does.
+    frozen = socket.create_server(("127.0.0.1", 0))
+    address = f"127.0.0.1:{frozen.getsockname()[1]}"
+    dialer = Dialer(address, near.mailbox, near.links, random.Random(1))
+    dialer.start()
+    assert near.take() == (LinkUp(address), "")
+    beats: list[WireMessage] = [wire.Heartbeat(number, 0) for number in range(256)]
+    while near.links.outboxes[address].waiting.qsize() < 1_000:
+        near.links.send(address, beats)
+    near.links.abort(address)
+    assert near.take() == (LinkDown(address), "")
+    assert near.take() == (LinkUp(address), "")
+    dialer.stop()
+    near.links.abort(address)
+    dialer.join()
+    frozen.close()
+
+
+@pytest.mark.parametrize(
+    "garbage",
+    [b"\xff\xff\xff\xff", b"\0\0\0\5abc", b"\0\0\0\3abc", b"\0\0\0\0", b""],
+)
+def test_bytes_that_are_no_frames_end_the_link(
+    far: End, listener: Listener, garbage: bytes
+) -> None:
+    with socket.create_connection(("127.0.0.1", listener.port), WAIT_S) as client:
+        client.sendall(garbage)
+        client.shutdown(socket.SHUT_WR)
+        with contextlib.suppress(ConnectionResetError):
+            assert client.recv(1) == b""
+    assert far.mailbox.take(0.0) is None
