Push room to the entries that have work; place only when something changed

Cause: each change of a worker's room went to each entry within 4 ms. With 13 entries, 72 workers and 40 changes a second at each that is 37,000 messages a second, and each one made its entry go through its whole queue again.

Ruled out: beats (two a second on an idle link), logs of the core.

Change: an agent pushes at once to entries that have ordered or asked for room within 300 ms, rarer the more they are, and within 100 ms to the others; an entry with jobs waiting asks. Whether a worker accepts is still told to all at once. An entry looks for places after a new job, a repeat, more room or a tick, with the speeds of workers worked out once. Decision lines go to the log's writer without the logging library.

--- a/src/sardineferry/burst/parts.py
+++ b/src/sardineferry/burst/parts.py
@@ -12,6 +12,7 @@
 from sardineferry.decision.burst.requests import BurstReply
 from sardineferry.exposition import Exposition
 from sardineferry.http_server import HttpServer
+from sardineferry.logs import LineWriter
 from sardineferry.mailbox import Mailbox
 from sardineferry.transport import DialerPool
 from sardineferry.transport import Listener
@@ -40,6 +41,7 @@
     readiness: HttpServer
     watches: tuple[Startable, ...]
     exposition: Exposition
+    log: LineWriter
     settings_watch: SettingsWatch
 
 
@@ -58,4 +60,5 @@
     reports: HttpServer
     watches: tuple[Startable, ...]
     exposition: Exposition
+    log: LineWriter
     settings_watch: SettingsWatch
--- a/src/sardineferry/burst/program.py
+++ b/src/sardineferry/burst/program.py
@@ -19,6 +19,7 @@
     from sardineferry.core_loop import Core
     from sardineferry.decision.burst.effects import BurstEffect
     from sardineferry.exposition import Exposition
+    from sardineferry.logs import LineWriter
     from sardineferry.mailbox import Mailbox
     from sardineferry.transport.registry import LinkRegistry
 
@@ -44,6 +45,10 @@
     def exposition(self) -> Exposition:
         """Where metrics are served."""
 
+    @property
+    def log(self) -> LineWriter:
+        """Where decisions are written."""
+
     @property
     def settings_watch(self) -> SettingsWatch:
         """What notices new settings."""
@@ -54,6 +59,7 @@
 
     def __init__(self, name: str, core: Core[BurstEffect], parts: CommonParts) -> None:
         """Name the process for its log lines; start nothing."""
+        self.name = name
         self.common = parts
         self.logger = part_logger(name)
         self.loop: CoreLoop[BurstEffect] = CoreLoop(
@@ -107,7 +113,7 @@
     @perform.register
     def log_decision(self, effect: LogDecision) -> None:
         """Write a log line."""
-        self.logger.bind(**effect.fields).info(effect.event)
+        self.common.log.put_decision(self.name, effect.event, effect.fields)
 
     @perform.register
     def observe(self, effect: ObserveLatency) -> None:
--- a/src/sardineferry/decision/burst/agent.py
+++ b/src/sardineferry/decision/burst/agent.py
@@ -67,10 +67,11 @@
 
     def tick_interval_ms(self) -> int:
         """Return how long the next tick may wait."""
-        if self.state.room_dirty:
-            return agent_links.ROOM_GAP_MS
         busy = self.state.runs or self.state.leaving_ms is not None
-        return timing.TICK_MS if busy else IDLE_TICK_MS
+        interval_ms = timing.TICK_MS if busy else IDLE_TICK_MS
+        if self.state.room_urgent:
+            return min(interval_ms, agent_links.ROOM_GAP_MS)
+        return interval_ms
 
     def take_effects(self) -> list[BurstEffect]:
         """Return and clear the collected effects."""
--- a/src/sardineferry/decision/burst/agent_links.py
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -24,6 +24,7 @@
 from sardineferry.messages.burst import EntryLeft
 from sardineferry.messages.burst import EntryWelcome
 from sardineferry.messages.burst import HeldRuns
+from sardineferry.messages.burst import WatchRoom
 from sardineferry.messages.burst import WorkerAnnounce
 from sardineferry.messages.burst import WorkerProfile
 from sardineferry.messages.burst import WorkerRoom
@@ -39,6 +40,11 @@
 # Changes of room within this time travel in one push; an entry that places by
 # older room is refused, which costs it a round trip of about 3 ms.
 ROOM_GAP_MS = 4
+# With many entries pushes are rarer, so that what an entry gets of all agents
+# does not grow with the number of entries.
+ROOM_GAP_PER_ENTRY_MS = 3
+# To an entry without work for this worker.
+ROOM_GAP_IDLE_MS = 100
 # Ends are told again on a new link for this long: an entry has given up a run
 # of an agent that was away for longer.
 ENDS_RESENT_MS = 10_000
@@ -82,6 +88,7 @@
     owner.link = sender
     owner.linked = True
     owner.heard_ms = now_ms
+    owner.room_sent = None
     state.link_owners[sender] = owner.name
     if state.total is None and event.profile is not None:
         state.total = event.profile.total
@@ -139,6 +146,17 @@
     owner.alive_until_ms = max(owner.alive_until_ms, alive_until_ms)
 
 
+@handle_agent_event.register(WatchRoom)
+def on_watch_room(
+    _event: WatchRoom, state: BurstAgentState, sender: str, now_ms: int
+) -> None:
+    """Tell an entry that has jobs waiting of each change of room."""
+    owner = owner_of(state, sender)
+    if owner is not None:
+        owner.watches_until_ms = now_ms + timing.WATCH_MS
+        state.room_dirty = True
+
+
 @handle_agent_event.register(EntryLeft)
 def on_entry_left(
     event: EntryLeft, state: BurstAgentState, _sender: str, _now_ms: int
@@ -197,23 +215,42 @@
 
 def send_room(state: BurstAgentState, owner: Owner, now_ms: int) -> None:
     """Tell an entry the worker's room."""
-    room = WorkerRoom(now_ms, state.free(), state.accepting(), owner.last_order)
+    owner.room_sent = (state.free(), state.accepting())
+    owner.room_sent_ms = now_ms
+    room = WorkerRoom(now_ms, *owner.room_sent, owner.last_order)
     state.effects.append(Send(owner.link, room))
 
 
 def push_room(state: BurstAgentState, now_ms: int) -> None:
-    """Tell all entries of a change of room."""
-    if not state.room_dirty or now_ms - state.room_flushed_ms < ROOM_GAP_MS:
+    """Tell entries of a change of room, first those with work for the worker.
+
+    Answers many entries and many workers: if each change went to each entry at
+    once, small instances would do little but read them.
+    """
+    if not state.room_dirty:
         return
-    state.room_dirty = False
     room = (state.free(), state.accepting())
-    if room == state.room_sent:
-        return
-    state.room_sent = room
-    state.room_flushed_ms = now_ms
-    for owner in state.owners.values():
-        if owner.linked:
+    behind = [
+        owner
+        for owner in state.owners.values()
+        if owner.linked and owner.room_sent != room
+    ]
+    watching = sum(now_ms < owner.watches_until_ms for owner in behind)
+    gap_ms = max(ROOM_GAP_MS, ROOM_GAP_PER_ENTRY_MS * watching)
+    state.room_dirty = False
+    state.room_urgent = False
+    for owner in behind:
+        if owner.room_sent is None or owner.room_sent[1] != room[1]:
+            due_ms = now_ms
+        elif now_ms < owner.watches_until_ms:
+            due_ms = owner.room_sent_ms + gap_ms
+        else:
+            due_ms = owner.room_sent_ms + ROOM_GAP_IDLE_MS
+        if now_ms >= due_ms:
             send_room(state, owner, now_ms)
+        else:
+            state.room_dirty = True
+            state.room_urgent = state.room_urgent or now_ms < owner.watches_until_ms
 
 
 def send_beats(state: BurstAgentState, now_ms: int) -> None:
--- a/src/sardineferry/decision/burst/agent_runs.py
+++ b/src/sardineferry/decision/burst/agent_runs.py
@@ -65,6 +65,7 @@
         return
     owner.last_order = max(owner.last_order, event.order)
     owner.heard_ms = now_ms
+    owner.watches_until_ms = now_ms + timing.WATCH_MS
     state.room_dirty = True
     # The next beat was planned for an idle link, which is too late for a run.
     owner.next_beat_ms = min(owner.next_beat_ms, now_ms + timing.BUSY_BEAT_MS)
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -87,6 +87,10 @@
         self.heard_ms = now_ms
         self.next_beat_ms = 0
         self.last_order = 0
+        # Pushes of room: often until this time, as it has work for the worker.
+        self.watches_until_ms = 0
+        self.room_sent: tuple[Resources, bool] | None = None
+        self.room_sent_ms = 0
         self.ends: deque[tuple[int, RunEnded]] = deque(maxlen=ENDS_KEPT)
 
 
@@ -149,9 +153,9 @@
         self.ends_to_acknowledge = False
         self.lease_sent_ms = 0
         self.worker_answer_ms = 0
-        self.room_sent: tuple[Resources, bool] | None = None
+        # An entry may not know the room; one that watches it does not.
         self.room_dirty = False
-        self.room_flushed_ms = 0
+        self.room_urgent = False
         self.leaving_ms: int | None = None
         self.last_end_ms = 0
 
--- a/src/sardineferry/decision/burst/entry.py
+++ b/src/sardineferry/decision/burst/entry.py
@@ -51,6 +51,7 @@
             state.started_ms = now_ms
         entry_agents.check_agents(state, now_ms)
         entry_callers.check_queue(state, now_ms)
+        state.placing_due = True
         entry_placing.place_waiting(state, now_ms)
         if state.leaving_ms is not None:
             self.leave(state.leaving_ms, now_ms)
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -103,9 +103,11 @@
     if view is None:
         return
     view.note_stamp(event.sent_at_ms, now_ms)
-    view.note_room(event.free, event.last_order)
+    if view.note_room(event.free, event.last_order):
+        state.placing_due = True
     if view.accepting != event.accepting:
         view.accepting = event.accepting
+        state.placing_due = True
         log_agent(state, "agent accepting", view, now_ms)
     if view.accepting and view.orphans:
         # An agent accepts only once its worker runs nothing of before.
@@ -233,6 +235,7 @@
 ) -> None:
     """Let a task wait again, unless its job is over or out of attempts."""
     task.advance(event)
+    state.placing_due = True
     if state.jobs.get(job.job.job_id) is not job:
         return
     if task.failures >= job.route.attempts:
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -167,6 +167,7 @@
     state.jobs[event.job.job_id] = job
     state.token_jobs[event.token] = event.job.job_id
     state.queue.append(job)
+    state.placing_due = True
     state.counters["jobs_admitted"] += 1
     fields: dict[str, object] = {
         "job": event.job.job_id,
@@ -257,6 +258,7 @@
     state.jobs.pop(job.job.job_id, None)
     if job in state.queue:
         state.queue.remove(job)
+        state.placing_due = True
     state.remember_attempt(job)
     stop_job(state, job)
     state.counters[f"jobs_{kind.value.replace(' ', '_')}"] += 1
--- a/src/sardineferry/decision/burst/entry_placing.py
+++ b/src/sardineferry/decision/burst/entry_placing.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.effects import LogDecision
+from sardineferry.decision.burst.entry_state import AgentView
 from sardineferry.decision.burst.entry_state import PlacedRun
 from sardineferry.decision.burst.placement import Candidate
 from sardineferry.decision.burst.placement import is_tight
@@ -18,11 +20,11 @@
 from sardineferry.decision.burst.placement import rank
 from sardineferry.decision.effects import Send
 from sardineferry.messages.burst import StartRuns
+from sardineferry.messages.burst import WatchRoom
 
 if TYPE_CHECKING:
     from sardineferry.decision.burst.entry_state import ActiveJob
     from sardineferry.decision.burst.entry_state import ActiveTask
-    from sardineferry.decision.burst.entry_state import AgentView
     from sardineferry.decision.burst.entry_state import BurstEntryState
 
 __all__ = ["place_waiting", "usable"]
@@ -40,23 +42,50 @@
     )
 
 
+class Fleet(NamedTuple):
+    """The agents that may take orders now, with the speeds of their workers."""
+
+    views: list[AgentView]
+    speeds: dict[str, float]
+
+
+def survey(state: BurstEntryState, now_ms: int) -> Fleet:
+    """Return the agents that may take orders."""
+    views = [view for view in state.agents.values() if usable(view, now_ms)]
+    speeds = {view.name: state.speeds.factor(view.name, view.kind()) for view in views}
+    return Fleet(views, speeds)
+
+
 def place_waiting(state: BurstEntryState, now_ms: int) -> None:
     """Place waiting tasks, first those of the jobs that must start first."""
-    if not state.queue:
+    if not state.queue or not state.placing_due:
         return
+    state.placing_due = False
+    least = min(job.step.need.cpu for job in state.queue)
+    fleet = survey(state, now_ms)
+    roomy = {view.name for view in fleet.views if view.room.cpu >= max(1, least)}
     state.queue.sort(key=lambda job: (not job.started, job.give_up_ms))
-    usable_views = [view for view in state.agents.values() if usable(view, now_ms)]
-    roomy = {view.name for view in usable_views if view.room.cpu > 0}
     reserved: set[str] = set()
     for job in list(state.queue):
         if roomy <= reserved:
-            return
-        views = [view for view in usable_views if fits_job(view, job)]
-        place_job(state, job, views, reserved, now_ms)
+            break
+        views = [view for view in fleet.views if fits_job(view, job)]
+        wanted = wanted_by(job, Fleet(views, fleet.speeds), now_ms)
+        place_job(state, job, wanted, reserved, now_ms)
         if job.waiting():
-            reserved.update(view.name for view in wanted(state, job, views, now_ms))
+            reserved.update(view.name for view in wanted.views)
         else:
             state.queue.remove(job)
+    if state.queue:
+        watch_room(state, fleet.views, now_ms)
+
+
+def watch_room(state: BurstEntryState, views: list[AgentView], now_ms: int) -> None:
+    """Ask agents to push each change of room while jobs wait."""
+    for view in views:
+        if now_ms >= view.watched_until_ms:
+            view.watched_until_ms = now_ms + timing.WATCH_RENEW_MS
+            state.effects.append(Send(view.name, WatchRoom()))
 
 
 def fits_job(view: AgentView, job: ActiveJob) -> bool:
@@ -69,52 +98,48 @@
     )
 
 
-def ends_in_time(
-    state: BurstEntryState, job: ActiveJob, view: AgentView, now_ms: int
-) -> bool:
+def ends_in_time(job: ActiveJob, speed: float, now_ms: int) -> bool:
     """Tell whether a task that starts now is expected to keep the goal."""
-    run_ms = job.step.estimate_ms * state.speeds.factor(view.name, view.kind())
-    return now_ms + run_ms <= job.arrived_ms + job.goal_ms
+    return now_ms + job.step.estimate_ms * speed <= job.arrived_ms + job.goal_ms
 
 
-def wanted(
-    state: BurstEntryState, job: ActiveJob, views: list[AgentView], now_ms: int
-) -> list[AgentView]:
+def wanted_by(job: ActiveJob, fleet: Fleet, now_ms: int) -> Fleet:
     """Return the workers that a job may start on.
 
     One that has not begun does not start where it would be late, unless it is
     late everywhere.
     """
     if job.started:
-        return views
-    in_time = [view for view in views if ends_in_time(state, job, view, now_ms)]
-    return in_time or views
+        return fleet
+    in_time = [
+        view
+        for view in fleet.views
+        if ends_in_time(job, fleet.speeds[view.name], now_ms)
+    ]
+    return Fleet(in_time or fleet.views, fleet.speeds)
 
 
 def place_job(
     state: BurstEntryState,
     job: ActiveJob,
-    views: list[AgentView],
+    fleet: Fleet,
     reserved: set[str],
     now_ms: int,
 ) -> None:
     """Place as many tasks of a job as fit; repeats avoid where they failed."""
     tight = is_tight(
-        sum(view.room.cpu for view in views),
-        sum(view.profile.total.cpu for view in views if view.profile is not None),
+        sum(view.room.cpu for view in fleet.views),
+        sum(view.profile.total.cpu for view in fleet.views if view.profile is not None),
     )
     groups: dict[frozenset[str], list[ActiveTask]] = {}
     for task in job.waiting():
         groups.setdefault(frozenset(task.tried), []).append(task)
-    allowed = [
-        view for view in wanted(state, job, views, now_ms) if view.name not in reserved
-    ]
     step = job.step
     for tried, tasks in groups.items():
         found = [
-            candidate_of(state, job, view, tried, now_ms)
-            for view in allowed
-            if view.room.holds(step.need)
+            candidate_of(state, job, view, fleet.speeds[view.name], tried, now_ms)
+            for view in fleet.views
+            if view.name not in reserved and view.room.holds(step.need)
         ]
         candidates = rank(found, tight, state.random)
         left = tasks
@@ -129,6 +154,7 @@
     state: BurstEntryState,
     job: ActiveJob,
     view: AgentView,
+    speed: float,
     tried: frozenset[str],
     now_ms: int,
 ) -> Candidate:
@@ -138,10 +164,10 @@
     return Candidate(
         view.name,
         job.step.need if probe else view.room,
-        state.speeds.factor(view.name, view.kind()),
+        speed,
         view.data_centre == state.data_centre,
         view.name in tried,
-        ends_in_time(state, job, view, now_ms),
+        ends_in_time(job, speed, now_ms),
     )
 
 
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -150,9 +150,15 @@
         self.orphans: dict[RunRef, PlacedRun] = {}
         self.orphans_gone_ms = 0
         self.health = Health()
+        # The agent was asked to push changes of room until then.
+        self.watched_until_ms = 0
 
-    def note_room(self, free: Resources, last_order: int) -> None:
-        """Take a push of room that knows orders up to ``last_order``."""
+    def note_room(self, free: Resources, last_order: int) -> bool:
+        """Take a push of room that knows orders up to ``last_order``.
+
+        Returns whether there is more room than was known.
+        """
+        before = self.room
         self.free = free
         self.reserved = {
             order: need for order, need in self.reserved.items() if order > last_order
@@ -160,6 +166,7 @@
         self.room = free
         for need in self.reserved.values():
             self.room = self.room.minus(need)
+        return not before.holds(self.room)
 
     def reserve(self, order: int, need: Resources) -> None:
         """Subtract an order until a push knows it."""
@@ -213,6 +220,8 @@
         self.jobs: dict[str, ActiveJob] = {}
         self.token_jobs: dict[int, str] = {}
         self.queue: list[ActiveJob] = []
+        # True when a waiting task may have found a place since the last look.
+        self.placing_due = False
         self.attempts: OrderedDict[str, int] = OrderedDict()
         self.speeds = SpeedBook()
         self.next_order = 1
--- a/src/sardineferry/decision/burst/timing.py
+++ b/src/sardineferry/decision/burst/timing.py
@@ -25,6 +25,8 @@
     "RESUBMIT_MS",
     "SILENCE_MS",
     "TICK_MS",
+    "WATCH_MS",
+    "WATCH_RENEW_MS",
 ]
 
 # The platform's bound after which a caller submits a job again.
@@ -46,6 +48,11 @@
 # Without work on a link a loss may be noticed later.
 IDLE_BEAT_MS = 500
 IDLE_SILENCE_MS = 3 * IDLE_BEAT_MS
+# An agent pushes changes of room to an entry for this long after an order of
+# its or a request for it; runs last about as long.
+WATCH_MS = 300
+# An entry with jobs waiting asks again before that is over.
+WATCH_RENEW_MS = WATCH_MS * 2 // 3
 # An order is void once the sign of life that it rests on would have lapsed.
 ORDER_TTL_MS = SILENCE_MS
 # Since the last stamp of an agent: all runs that it had then are gone.
--- a/src/sardineferry/deployment.py
+++ b/src/sardineferry/deployment.py
@@ -100,7 +100,7 @@
     settings: DeploymentSettings, path: Path, metrics_port: int
 ) -> BurstEntryProcess:
     """Build an entry; its addresses are bound, its threads not started."""
-    configure_structured_logs(LOG_LEVEL)
+    log = configure_structured_logs(LOG_LEVEL)
     source = random.Random()
     mailbox = Mailbox()
     links = LinkRegistry()
@@ -149,6 +149,7 @@
         ),
         watches=watches,
         exposition=Exposition(settings.ip, state.counters, metrics_port),
+        log=log,
         settings_watch=SettingsWatch(path, load_deployment_settings, settings, mailbox),
     )
     return BurstEntryProcess(parts)
@@ -158,7 +159,7 @@
     settings: DeploymentSettings, path: Path, metrics_port: int
 ) -> BurstAgentProcess:
     """Build an agent; its addresses are bound, its threads not started."""
-    configure_structured_logs(LOG_LEVEL)
+    log = configure_structured_logs(LOG_LEVEL)
     source = random.Random()
     mailbox = Mailbox()
     links = LinkRegistry()
@@ -189,6 +190,7 @@
         ),
         watches=(watch_entries(settings, mailbox, source),),
         exposition=Exposition(settings.ip, state.counters, metrics_port),
+        log=log,
         settings_watch=SettingsWatch(path, load_deployment_settings, settings, mailbox),
     )
     return BurstAgentProcess(parts)
--- a/src/sardineferry/logs.py
+++ b/src/sardineferry/logs.py
@@ -10,6 +10,8 @@
 import sys
 import threading
 import time
+from datetime import UTC
+from datetime import datetime
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -65,7 +67,22 @@
         """Start the thread."""
         self.thread.start()
 
-    def put(self, message: Message) -> None:
+    def put_record(self, message: Message) -> None:
+        """Queue a record that the logging library has formatted."""
+        self.put(str(message))
+
+    def put_decision(self, part: str, event: str, fields: dict[str, object]) -> None:
+        """Queue a decision; most lines are, so they pass the library by."""
+        record = {
+            "at": datetime.now(UTC).isoformat(timespec="milliseconds"),
+            "level": "INFO",
+            "event": event,
+            "part": part,
+            **fields,
+        }
+        self.put(msgspec.json.encode(record, enc_hook=str).decode() + "\n")
+
+    def put(self, line: str) -> None:
         """Queue a line, or drop it."""
         now_s = time.monotonic()
         refill = (now_s - self.refilled_s) * LINES_PER_S
@@ -75,7 +92,7 @@
             self.dropped += 1
             return
         self.tokens -= 1.0
-        self.lines.put(str(message))
+        self.lines.put(line)
 
     def run(self) -> None:
         """Write lines as they come."""
@@ -104,12 +121,17 @@
     return "{extra[line]}\n"
 
 
-def configure_structured_logs(level: str) -> None:
+def configure_structured_logs(level: str) -> LineWriter:
     """Write logs to standard output, one JSON object a line."""
     writer = LineWriter(sys.stdout)
     writer.start()
     logger.remove()
     logger.configure(extra={"part": "main"})
     logger.add(
-        writer.put, level=level, format=format_json, backtrace=False, diagnose=False
+        writer.put_record,
+        level=level,
+        format=format_json,
+        backtrace=False,
+        diagnose=False,
     )
+    return writer
--- a/src/sardineferry/messages/burst.py
+++ b/src/sardineferry/messages/burst.py
@@ -29,6 +29,7 @@
     "RunRef",
     "StartRuns",
     "StopRuns",
+    "WatchRoom",
     "WorkerAnnounce",
     "WorkerProfile",
     "WorkerRoom",
@@ -131,6 +132,10 @@
     last_order: int
 
 
+class WatchRoom(NamedTuple):
+    """Entry to agent: jobs wait, so changes of room matter for a while."""
+
+
 class AgentBeat(NamedTuple):
     """Agent to entry: a sign of life, to be echoed."""
 
@@ -225,6 +230,7 @@
     | RunEnded
     | StartRuns
     | StopRuns
+    | WatchRoom
     | WorkerAnnounce
     | WorkerProfile
     | WorkerRoom
--- a/tests/decision/burst/drive.py
+++ b/tests/decision/burst/drive.py
@@ -38,7 +38,16 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-__all__ = ["AgentDriver", "EntryDriver", "job", "ref", "route", "sent", "submit"]
+__all__ = [
+    "NEED",
+    "AgentDriver",
+    "EntryDriver",
+    "job",
+    "ref",
+    "route",
+    "sent",
+    "submit",
+]
 
 T = TypeVar("T")
 NEED = Resources(1_000, 10, 0)
--- a/tests/decision/burst/test_agent.py
+++ b/tests/decision/burst/test_agent.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import pytest
 
 from sardineferry.decision.burst import timing
+from sardineferry.decision.burst.agent_state import Run
 from sardineferry.decision.burst.effects import DropLink
 from sardineferry.decision.burst.worker import HoldWorker
 from sardineferry.decision.burst.worker import PresentRun
@@ -14,6 +17,7 @@
 from sardineferry.decision.burst.worker import StopAnswered
 from sardineferry.decision.burst.worker import StopRun
 from sardineferry.decision.effects import Exit
+from sardineferry.decision.effects import Send
 from sardineferry.decision.events import Drain
 from sardineferry.decision.events import LinkDown
 from sardineferry.messages.burst import AgentBeat
@@ -24,8 +28,10 @@
 from sardineferry.messages.burst import RunRef
 from sardineferry.messages.burst import StartRuns
 from sardineferry.messages.burst import StopRuns
+from sardineferry.messages.burst import WatchRoom
 from sardineferry.messages.burst import WorkerRoom
 from tests.decision.burst.drive import LINK
+from tests.decision.burst.drive import NEED
 from tests.decision.burst.drive import AgentDriver
 from tests.decision.burst.drive import ref
 from tests.decision.burst.drive import sent
@@ -326,7 +332,8 @@
     for index in range(orders):
         agent.order(ref(index), order=index + 1)
     agent.state.room_dirty = True
-    agent.state.room_sent = None
+    for owner in agent.state.owners.values():
+        owner.room_sent = None
     agent.tick(10)
     room = sent(agent.effects, WorkerRoom)[-1]
     assert (room.free.cpu, room.accepting) == (free, accepting)
@@ -362,3 +369,52 @@
     assert [stop.run for stop in sent(effects, StopRun)] == [ONE]
     effects = agent.hold(ends=(RunEnd(1, ONE, "lost"),))
     assert [end.reason for end in sent(effects, RunEnded)] == ["stalled"]
+
+
+def pushes_of_room(agent: AgentDriver, effects: list[object]) -> Counter[str]:
+    """Return the pushes by entry."""
+    return Counter(
+        effect.to
+        for effect in effects
+        if isinstance(effect, Send) and isinstance(effect.message, WorkerRoom)
+    )
+
+
+@pytest.mark.parametrize(
+    ("watching", "most_watching", "most_idle"),
+    # Of 200 changes of room in a second, one each 5 ms, beside 13 entries.
+    [(1, 200, 11), (3, 112, 11), (13, 26, 0)],
+)
+def test_pushes_of_room_do_not_grow_with_entries(
+    agent: AgentDriver, watching: int, most_watching: int, most_idle: int
+) -> None:
+    links = [f"10.0.1.{number}:7000" for number in range(13)]
+    for number, link in enumerate(links):
+        agent.link(link, entry=f"e{number}")
+    agent.tick(200)
+    effects: list[object] = []
+    for change in range(200):
+        if change % 20 == 0:
+            for link in links[:watching]:
+                effects.extend(agent.handle(WatchRoom(), link))
+        if change % 2:
+            agent.state.runs.clear()
+        else:
+            agent.state.runs[ONE] = run_of(ONE)
+        agent.state.room_dirty = True
+        effects.extend(agent.tick(5))
+    pushes = pushes_of_room(agent, effects)
+    assert all(1 <= pushes[link] <= most_watching for link in links[:watching])
+    assert all(1 <= pushes[link] <= most_idle for link in links[watching:])
+
+
+def test_all_entries_learn_at_once_that_a_worker_drains(agent: AgentDriver) -> None:
+    links = [f"10.0.1.{number}:7000" for number in range(13)]
+    for number, link in enumerate(links):
+        agent.link(link, entry=f"e{number}")
+    effects = agent.handle(agent.report(2, draining=True))
+    assert set(links) <= set(pushes_of_room(agent, effects))
+
+
+def run_of(run: RunRef) -> Run:
+    return Run(run, "e0", NEED, "spec", 100, 0, True)
--- a/tests/decision/burst/test_placement.py
+++ b/tests/decision/burst/test_placement.py
@@ -14,8 +14,10 @@
 from sardineferry.decision.burst.placement import place_tasks
 from sardineferry.decision.burst.placement import rank
 from sardineferry.decision.burst.speed import SpeedBook
+from sardineferry.decision.effects import Send
 from sardineferry.messages.burst import Resources
 from sardineferry.messages.burst import RunEnded
+from sardineferry.messages.burst import WatchRoom
 from tests.decision.burst.drive import EntryDriver
 from tests.decision.burst.drive import job
 from tests.decision.burst.drive import sent
@@ -166,3 +168,27 @@
     ordered = [run.task[:16] for _, order in entry.orders()[1:] for run in order.runs]
     assert ordered[:4] == [f"{2:016x}"] * 4
     assert sent(entry.effects, RunEnded) == []
+
+
+def test_agents_are_asked_to_push_room_while_jobs_wait() -> None:
+    entry = EntryDriver("ab")
+    for number in range(1, 4):
+        entry.handle(submit(number, job(number, 4)))
+    assert [to for to, _ in entry.orders()] == ["a", "b"]
+    effects = [*entry.effects, *entry.tick(20), *entry.tick(20)]
+    asked = [
+        effect.to
+        for effect in effects
+        if isinstance(effect, Send) and isinstance(effect.message, WatchRoom)
+    ]
+    assert sorted(asked) == ["a", "b"]
+
+
+def test_push_of_less_room_places_nothing() -> None:
+    entry = EntryDriver("ab")
+    for number in range(1, 4):
+        entry.handle(submit(number, job(number, 4)))
+    entry.room("a", Resources(), last_order=1)
+    assert not entry.state.placing_due
+    entry.room("b", Resources(4_000, 1_000, 0), last_order=2)
+    assert [to for to, _ in entry.orders()] == ["a", "b", "b"]
