Note the room of each worker on the store, for its next agent

Ruled out: taking inventory (it needs no report) and dialling (agents had linked within 50 ms).

Change: an agent reads the room noted under its name and address on a keyed topic, uses it until the worker reports, and notes a room that differs.

--- a/src/sardineferry/burst/agent.py
+++ b/src/sardineferry/burst/agent.py
@@ -8,6 +8,7 @@
 
 from sardineferry.burst.program import BurstProgram
 from sardineferry.decision.burst.worker import HoldWorker
+from sardineferry.decision.burst.worker import RememberRoom
 from sardineferry.decision.burst.worker import StartRun
 from sardineferry.decision.burst.worker import StopRun
 from sardineferry.decision.effects import Connect
@@ -38,6 +39,7 @@
         parts.orders.start()
         parts.holds.start()
         parts.reports.start()
+        parts.rooms.start()
         parts.mailbox.put(AddressesRead(parts.settings_watch.settings.entry_links))
         for watch in parts.watches:
             watch.start()
@@ -73,6 +75,11 @@
         """Hand a hold to its thread."""
         self.parts.holds.put(effect)
 
+    @perform.register
+    def remember(self, effect: RememberRoom) -> None:
+        """Hand the worker's room to the thread that keeps it."""
+        self.parts.rooms.remember(effect.total)
+
     @perform.register
     def connect(self, effect: Connect) -> None:
         """Open a link to an entry."""
--- a/src/sardineferry/burst/parts.py
+++ b/src/sardineferry/burst/parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 from typing import Protocol
 
@@ -19,7 +20,10 @@
 from sardineferry.transport.registry import LinkRegistry
 from sardineferry.waiting import WaitingRequests
 
-__all__ = ["AgentParts", "EntryParts", "Startable"]
+if TYPE_CHECKING:
+    from sardineferry.messages.burst import Resources
+
+__all__ = ["AgentParts", "EntryParts", "RoomKeeper", "Startable"]
 
 
 class Startable(Protocol):
@@ -45,6 +49,16 @@
     settings_watch: SettingsWatch
 
 
+class RoomKeeper(Protocol):
+    """Keeps the worker's room for processes to come."""
+
+    def start(self) -> None:
+        """Start the thread."""
+
+    def remember(self, total: Resources) -> None:
+        """Note the worker's room."""
+
+
 class AgentParts(NamedTuple):
     """What an agent is built of.
 
@@ -58,6 +72,7 @@
     orders: WorkerCalls
     holds: WorkerCalls
     reports: HttpServer
+    rooms: RoomKeeper
     watches: tuple[Startable, ...]
     exposition: Exposition
     log: LineWriter
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -143,6 +143,10 @@
         # Room and labels stay with the machine across lives of its worker.
         self.total: Resources | None = None
         self.labels: tuple[str, ...] = ()
+        # Room by the worker's own report, and as noted for later processes.
+        self.reported: Resources | None = None
+        self.remembered: Resources | None = None
+        self.memory_read = False
         self.runs: dict[RunRef, Run] = {}
         # Runs at the worker that nobody here ordered, being stopped.
         self.strays: set[RunRef] = set()
--- a/src/sardineferry/decision/burst/agent_worker.py
+++ b/src/sardineferry/decision/burst/agent_worker.py
@@ -11,6 +11,8 @@
 from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.worker import HoldAnswered
 from sardineferry.decision.burst.worker import HoldWorker
+from sardineferry.decision.burst.worker import RememberRoom
+from sardineferry.decision.burst.worker import RoomRemembered
 from sardineferry.decision.burst.worker import StopRun
 from sardineferry.decision.burst.worker import WorkerLeft
 from sardineferry.decision.burst.worker import WorkerSeen
@@ -53,14 +55,50 @@
             # A delayed report of an earlier life at the same address.
             return
         begin_life(state, event, now_ms)
+    state.reported = event.total
+    remember_room(state)
     if state.total != event.total or state.labels != event.labels:
         state.total = event.total
         state.labels = event.labels
-        state.room_dirty = True
-        profile = WorkerProfile(event.service, event.total, event.labels)
-        for owner in state.owners.values():
-            if owner.linked:
-                state.effects.append(Send(owner.link, profile))
+        send_profiles(state)
+
+
+def send_profiles(state: BurstAgentState) -> None:
+    """Tell all entries what the worker is."""
+    state.room_dirty = True
+    if state.total is None:
+        return
+    profile = WorkerProfile(state.service, state.total, state.labels)
+    for owner in state.owners.values():
+        if owner.linked:
+            state.effects.append(Send(owner.link, profile))
+
+
+@handle_agent_event.register(RoomRemembered)
+def on_room_remembered(
+    event: RoomRemembered, state: BurstAgentState, _sender: str, _now_ms: int
+) -> None:
+    """Use what an earlier process noted until the worker reports.
+
+    Answers the loss of all processes at once: no entry knows the worker, whose
+    next report may be more than a second away.
+    """
+    state.memory_read = True
+    state.remembered = event.total
+    if state.total is None and event.total is not None:
+        state.total = event.total
+        send_profiles(state)
+    fields: dict[str, object] = {"remembered": event.total, "used": state.total}
+    state.effects.append(LogDecision("room of the worker read", fields))
+    remember_room(state)
+
+
+def remember_room(state: BurstAgentState) -> None:
+    """Note the worker's room if it differs from what is noted."""
+    known = state.reported
+    if state.memory_read and known is not None and known != state.remembered:
+        state.remembered = known
+        state.effects.append(RememberRoom(known))
 
 
 def begin_life(state: BurstAgentState, event: WorkerSeen, now_ms: int) -> None:
--- a/src/sardineferry/decision/burst/effects.py
+++ b/src/sardineferry/decision/burst/effects.py
@@ -7,6 +7,7 @@
 from sardineferry.decision.burst.configuration import EdgeLimits
 from sardineferry.decision.burst.requests import BurstReply
 from sardineferry.decision.burst.worker import HoldWorker
+from sardineferry.decision.burst.worker import RememberRoom
 from sardineferry.decision.burst.worker import StartRun
 from sardineferry.decision.burst.worker import StopRun
 from sardineferry.decision.effects import Connect
@@ -55,6 +56,7 @@
     | HoldWorker
     | LogDecision
     | ObserveLatency
+    | RememberRoom
     | Send
     | StartRun
     | StopRun
--- a/src/sardineferry/deployment.py
+++ b/src/sardineferry/deployment.py
@@ -25,6 +25,7 @@
 from sardineferry.platform.callers import CallerApplication
 from sardineferry.platform.configuration import CONFIG_TOPIC
 from sardineferry.platform.configuration import decode_configuration
+from sardineferry.platform.memory import RoomMemory
 from sardineferry.platform.reports import REPORT_LIMIT_BYTES
 from sardineferry.platform.reports import ReportApplication
 from sardineferry.platform.settings import load_deployment_settings
@@ -188,6 +189,7 @@
             REPORT_THREADS,
             REPORT_LIMIT_BYTES,
         ),
+        rooms=RoomMemory(settings.name, settings.worker, settings.store, mailbox),
         watches=(watch_entries(settings, mailbox, source),),
         exposition=Exposition(settings.ip, state.counters, metrics_port),
         log=log,
--- a/tests/decision/burst/drive.py
+++ b/tests/decision/burst/drive.py
@@ -40,6 +40,7 @@
 
 __all__ = [
     "NEED",
+    "TOTAL",
     "AgentDriver",
     "EntryDriver",
     "job",
--- a/tests/decision/burst/test_agent.py
+++ b/tests/decision/burst/test_agent.py
@@ -6,11 +6,15 @@
 
 import pytest
 
+from sardineferry.decision.burst import BurstAgentCore
+from sardineferry.decision.burst import BurstAgentState
 from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.agent_state import Run
 from sardineferry.decision.burst.effects import DropLink
 from sardineferry.decision.burst.worker import HoldWorker
 from sardineferry.decision.burst.worker import PresentRun
+from sardineferry.decision.burst.worker import RememberRoom
+from sardineferry.decision.burst.worker import RoomRemembered
 from sardineferry.decision.burst.worker import RunEnd
 from sardineferry.decision.burst.worker import StartAnswer
 from sardineferry.decision.burst.worker import StartRun
@@ -32,6 +36,7 @@
 from sardineferry.messages.burst import WorkerRoom
 from tests.decision.burst.drive import LINK
 from tests.decision.burst.drive import NEED
+from tests.decision.burst.drive import TOTAL
 from tests.decision.burst.drive import AgentDriver
 from tests.decision.burst.drive import ref
 from tests.decision.burst.drive import sent
@@ -418,3 +423,35 @@
 
 def run_of(run: RunRef) -> Run:
     return Run(run, "e0", NEED, "spec", 100, 0, True)
+
+
+@pytest.mark.parametrize(
+    ("noted", "reported", "accepting", "noted_anew"),
+    [
+        (TOTAL, None, True, []),
+        (None, None, False, []),
+        (TOTAL, TOTAL, True, []),
+        (None, TOTAL, True, [TOTAL]),
+        (Resources(9_000, 1, 0), TOTAL, True, [TOTAL]),
+    ],
+)
+def test_room_noted_by_an_earlier_process_is_used_until_the_worker_reports(
+    noted: Resources | None,
+    reported: Resources | None,
+    accepting: bool,
+    noted_anew: list[Resources],
+) -> None:
+    agent = AgentDriver()
+    agent.core = BurstAgentCore(BurstAgentState("a", "j", "dc", "desk", 100, 6_000))
+    agent.effects.clear()
+    agent.handle(RoomRemembered(noted))
+    agent.hold(born_ms=None)
+    agent.link()
+    if reported is not None:
+        agent.total = reported
+        agent.handle(agent.report(1))
+        agent.hold()
+    agent.tick(200)
+    assert sent(agent.effects, WorkerRoom)[-1].accepting is accepting
+    assert [item.total for item in sent(agent.effects, RememberRoom)] == noted_anew
+    assert agent.state.total == (reported or noted)
