Order a worker by its answers before its first report

Ruled out: workers that were still down (they answered the hold), room (none of the refusals was for room).

Change: an answer to a hold makes the worker known by its birth and clock; the first report of that birth names it. An agent accepts only with a clock. An entry avoids a worker that rejects a task, and counts it as a failure.

--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -175,9 +175,11 @@
         return (
             self.leaving_ms is None
             and self.total is not None
+            # Without its clock no lease can be named.
+            and self.worker is not None
             and self.inventoried
             and not self.strays
-            and not (self.worker is not None and self.worker.report.draining)
+            and not self.worker.report.draining
         )
 
     def runs_of(self, owner: str) -> list[Run]:
--- a/src/sardineferry/decision/burst/agent_worker.py
+++ b/src/sardineferry/decision/burst/agent_worker.py
@@ -18,6 +18,7 @@
 from sardineferry.decision.burst.worker import WorkerSeen
 from sardineferry.decision.effects import Send
 from sardineferry.messages.burst import ENDED_LOST
+from sardineferry.messages.burst import Resources
 from sardineferry.messages.burst import WorkerProfile
 
 if TYPE_CHECKING:
@@ -28,6 +29,9 @@
 
 # The platform's bound on the number of ends in one list.
 ENDS_PER_LIST = 500
+# Of a worker that has answered and not reported yet.
+UNNAMED = ""
+UNREPORTED = -1
 # Between calls to a worker that does not answer, or that is being emptied.
 RETRY_MS = 20
 
@@ -38,11 +42,7 @@
 ) -> None:
     """Take a report, unless it is older than what is known."""
     worker = state.worker
-    same = worker is not None and (event.worker_id, event.born_ms) == (
-        worker.report.worker_id,
-        worker.report.born_ms,
-    )
-    if worker is not None and same:
+    if worker is not None and is_same_life(worker.report, event):
         if event.sequence <= worker.report.sequence:
             return
         if event.draining != worker.report.draining:
@@ -101,6 +101,14 @@
         state.effects.append(RememberRoom(known))
 
 
+def is_same_life(known: WorkerSeen, event: WorkerSeen) -> bool:
+    """Tell whether two reports are of one life; answers to holds name no id."""
+    return event.born_ms == known.born_ms and known.worker_id in (
+        event.worker_id,
+        UNNAMED,
+    )
+
+
 def begin_life(state: BurstAgentState, event: WorkerSeen, now_ms: int) -> None:
     """Start over with a new life of the worker: it runs nothing yet.
 
@@ -190,6 +198,7 @@
         return
     if is_other_life(state, event):
         return
+    meet_unreported(state, event, now_ms)
     state.worker_answer_ms = max(state.worker_answer_ms, event.sent_ms)
     if state.worker is not None and event.clock_ms is not None:
         state.worker.note_clock(event.clock_ms, now_ms)
@@ -210,6 +219,29 @@
     stop_strays(state, present, event, now_ms)
 
 
+def meet_unreported(state: BurstAgentState, event: HoldAnswered, now_ms: int) -> None:
+    """Know a worker by its answer, as its first report may be a second away.
+
+    Orders need its clock: without one they would carry no lease.
+    """
+    if state.worker is not None or event.clock_ms is None or event.born_ms is None:
+        return
+    total = state.total or Resources()
+    seen = WorkerSeen(
+        UNNAMED,
+        event.born_ms,
+        UNREPORTED,
+        state.service,
+        total,
+        state.labels,
+        draining=False,
+        clock_ms=event.clock_ms,
+    )
+    state.worker = WorkerLife(seen, now_ms)
+    state.room_dirty = True
+    log_worker(state, "worker answered before its report", seen)
+
+
 def is_other_life(state: BurstAgentState, event: HoldAnswered) -> bool:
     """Tell whether the answer is from a life that was not reported yet."""
     if state.worker is None or event.born_ms is None:
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -39,6 +39,8 @@
 # Added to the attempt of a task that a worker has seen under a later attempt,
 # from a submission through another entry.
 ATTEMPT_STEP = 8
+# Refusals that the next order to the same worker is likely to meet as well.
+REASONS_TO_AVOID = (StartAnswer.REJECTED.value, StartAnswer.OTHER_LIFE.value)
 # Agents that are gone for this long are forgotten.
 FORGET_MS = 120_000
 
@@ -178,7 +180,12 @@
         state.counters["runs_refused"] += 1
         if event.reason == StartAnswer.SUPERSEDED.value:
             task.attempt += ATTEMPT_STEP
-        end_probe(state, view, now_ms)
+        if event.reason in REASONS_TO_AVOID:
+            # Else it would be ordered there again at once, and refused again.
+            task.tried.add(view.name)
+            note_failure(state, view, now_ms)
+        else:
+            end_probe(state, view, now_ms)
         repeat(state, job, task, "refused", now_ms)
         return
     job.begun = True
--- a/tests/decision/burst/test_agent.py
+++ b/tests/decision/burst/test_agent.py
@@ -445,7 +445,7 @@
     agent.core = BurstAgentCore(BurstAgentState("a", "j", "dc", "desk", 100, 6_000))
     agent.effects.clear()
     agent.handle(RoomRemembered(noted))
-    agent.hold(born_ms=None)
+    agent.hold()
     agent.link()
     if reported is not None:
         agent.total = reported
@@ -455,3 +455,22 @@
     assert sent(agent.effects, WorkerRoom)[-1].accepting is accepting
     assert [item.total for item in sent(agent.effects, RememberRoom)] == noted_anew
     assert agent.state.total == (reported or noted)
+
+
+def test_worker_is_used_by_its_answer_before_its_report(agent: AgentDriver) -> None:
+    agent.core = BurstAgentCore(BurstAgentState("a", "j", "dc", "desk", 100, 6_000))
+    agent.handle(RoomRemembered(TOTAL))
+    assert not agent.state.accepting()
+    agent.hold(born_ms=1, clock_ms=5_000)
+    agent.link()
+    agent.effects.clear()
+    agent.order(ONE)
+    start = sent(agent.effects, StartRun)[0]
+    assert (start.lease_until_ms, start.worker_id) == (5_000 + timing.LEASE_MS, "")
+    agent.answer(ONE)
+    agent.handle(agent.report(1, worker="w", born_ms=1))
+    assert ONE in agent.state.runs
+    assert agent.state.worker is not None
+    assert agent.state.worker.report.worker_id == "w"
+    agent.handle(agent.report(1, worker="w", born_ms=2))
+    assert sent(agent.effects, RunEnded)[-1].reason == "worker restarted"
--- a/tests/decision/burst/test_entry.py
+++ b/tests/decision/burst/test_entry.py
@@ -25,6 +25,7 @@
 from sardineferry.messages.burst import RunEnded
 from sardineferry.messages.burst import StopRuns
 from sardineferry.messages.burst import WorkerAnnounce
+from sardineferry.messages.burst import WorkerRoom
 from tests.decision.burst.drive import TOTAL
 from tests.decision.burst.drive import EntryDriver
 from tests.decision.burst.drive import job
@@ -355,3 +356,16 @@
     effects = entry.handle(ConfigurationRead(b"2"))
     assert sent(effects, ApplyLimits) == [ApplyLimits(EdgeLimits(1, 2, 3, 4))]
     assert sent(entry.handle(ConfigurationRead(b"2")), ApplyLimits) == []
+
+
+def test_rejected_task_goes_elsewhere_and_its_worker_is_ejected() -> None:
+    entry = EntryDriver("ab")
+    entry.handle(submit(1, job(1, 3)))
+    (first, order), *_ = entry.orders()
+    other = "b" if first == "a" else "a"
+    for run in order.runs:
+        entry.handle(RunEnded(run, "refused", 0, "rejected"), first)
+    entry.handle(WorkerRoom(entry.now_ms, TOTAL, True, order.order), first)
+    assert {to for to, _ in entry.orders()[1:]} == {other}
+    entry.handle(submit(2, job(2, 1)))
+    assert entry.orders()[-1][0] == other
