--- a/bench/deployed_fleet.py
+++ b/bench/deployed_fleet.py
@@ -86,6 +86,10 @@
         self.store = f"127.0.0.1:{ports[0]}"
         self.front, self.ready, self.control = ports[1], ports[2], ports[3]
         self.link, self.app, self.metrics = ports[4], ports[5], ports[6]
+        # Where workers listen, and where programs reach the store: elsewhere
+        # if proxies stand between.
+        self.worker_port = self.app
+        self.program_store = self.store
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
 
     def __enter__(self) -> DeployedFleet:
@@ -148,7 +152,7 @@
             "Seeds": [f"{entry}:{self.control}" for entry in self.entry_ips[:1]],
             "Limits": {"MemoryMb": 300},
             "Bounds": {"GraceS": GRACE_S},
-            "platform": {"Address": self.store},
+            "platform": {"Address": self.program_store},
             "app": f"{ip}:{self.app}",
             "Service": SERVICE,
             "Unknown": {"ignored": True},
@@ -164,7 +168,7 @@
             f"worker-{index}",
             "sardineferry-standin",
             "worker",
-            f"{ip}:{self.app}",
+            f"{ip}:{self.worker_port}",
             f"{ip}:{self.control}",
             f"w-{index}",
             SERVICE,
@@ -205,7 +209,7 @@
 
     def worker(self, index: int) -> str:
         """Return where a worker is called."""
-        return f"{self.agent_ips[index]}:{self.app}"
+        return f"{self.agent_ips[index]}:{self.worker_port}"
 
     def wait_ready(self, index: int) -> None:
         """Wait until an entry is ready."""
--- a/src/sardineferry/standin/worker.py
+++ b/src/sardineferry/standin/worker.py
@@ -1,7 +1,8 @@
 """A stand-in for a leased worker, as the platform's protocol describes it.
 
 It does not guard its room and starts whatever it is told to; it notes each
-breach of a promise instead: ``GET /breaches`` lists them. ``POST /faults``
+breach of a promise instead: ``GET /breaches`` lists them, ``GET /history`` all
+runs with their start and end by the machine's steady clock. ``POST /faults``
 sets any of ``fail`` (every run fails), ``hang`` (no run goes on), ``down``
 (refuses all), ``lose_starts`` (the next starts get no answer and are carried
 out after ``late_ms``) and ``draining``.
@@ -71,6 +72,7 @@
         self.sequence = 0
         self.starts: list[tuple[str, int]] = []
         self.breaches: list[str] = []
+        self.history: list[tuple[str, int, int, int, str]] = []
         self.faults = WorkerFaults(
             fail=False, hang=False, down=False, lose_starts=0, late_ms=0, draining=False
         )
@@ -125,6 +127,8 @@
                 return Response(200, self.starts)
             case "GET", ("breaches",):
                 return Response(200, self.breaches)
+            case "GET", ("history",):
+                return Response(200, self.past_and_present())
         if self.faults["down"]:
             return Response(503, {})
         expected = request.headers.get("expected-instance", self.worker_id)
@@ -139,6 +143,16 @@
                 return self.hold(request.body)
         return Response(404, {})
 
+    def past_and_present(self) -> list[tuple[str, int, int, int, str]]:
+        """Return all runs; one that is under way ends now."""
+        with self.lock:
+            self.settle()
+            now_ms = self.now_ms()
+            return self.history + [
+                (run.task, run.attempt, run.started_ms, now_ms, "running")
+                for run in self.runs.values()
+            ]
+
     def answer(self, status: int, reason: str = "") -> Response:
         """Return an answer with the clock."""
         body: dict[str, object] = {"ClockMs": self.now_ms(), "born": self.born_ms}
@@ -199,7 +213,7 @@
             if self.is_fenced(body):
                 return self.answer(409, "fence")
             if (task, attempt) in self.runs:
-                self.end(self.runs[task, attempt], "stopped")
+                self.end(self.runs[task, attempt], "stopped", self.now_ms())
             self.bar(task, attempt)
         return self.answer(200)
 
@@ -261,12 +275,13 @@
         for run in list(self.runs.values()):
             done_ms = run.started_ms + run.work_ms
             if not self.faults["hang"] and done_ms <= min(now_ms, self.lease_until_ms):
-                self.end(run, "failed" if self.faults["fail"] else "done")
+                self.end(run, "failed" if self.faults["fail"] else "done", done_ms)
             elif now_ms > self.lease_until_ms:
-                self.end(run, "lapsed")
+                self.end(run, "lapsed", self.lease_until_ms)
 
-    def end(self, run: Run, how: str) -> None:
-        """List the end of a run."""
+    def end(self, run: Run, how: str, ended_ms: int) -> None:
+        """List the end of a run, which may have been a while ago."""
+        self.history.append((run.task, run.attempt, run.started_ms, ended_ms, how))
         del self.runs[run.task, run.attempt]
         self.end_number += 1
         self.ends.append((self.end_number, run.task, run.attempt, how, ""))
