--- a/src/sardineferry/decision/burst/agent_links.py
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -43,8 +43,9 @@
 # With many entries pushes are rarer, so that what an entry gets of all agents
 # does not grow with the number of entries.
 ROOM_GAP_PER_ENTRY_MS = 3
-# To an entry without work for this worker.
-ROOM_GAP_IDLE_MS = 100
+# To an entry without work for this worker: with 13 entries and 72 workers an
+# entry then reads 240 such pushes a second.
+ROOM_GAP_IDLE_MS = 300
 # Ends are told again on a new link for this long: an entry has given up a run
 # of an agent that was away for longer.
 ENDS_RESENT_MS = 10_000
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -118,6 +118,8 @@
 def forecast_ms(state: BurstEntryState, now_ms: int) -> float:
     """Return how long a job that arrives now waits for its start."""
     ahead = sum(job.work_waiting() for job in state.queue)
+    if ahead <= 0:
+        return 0.0
     return admission.forecast_wait_ms(ahead, own_rate(state, now_ms))
 
 
--- a/src/sardineferry/decision/burst/speed.py
+++ b/src/sardineferry/decision/burst/speed.py
@@ -17,6 +17,9 @@
 RATIO_MAX = 10.0
 # Runs after which a worker's own average counts as much as that of its kind.
 PRIOR_RUNS = 10
+# Factors are worked out anew after so many runs of any worker, for the kind's
+# average moves too; an entry looks at all workers for each job.
+RUNS_PER_SWEEP = 50
 
 
 class SpeedEstimate:
@@ -44,6 +47,8 @@
         """Begin without runs."""
         self.workers: dict[str, SpeedEstimate] = {}
         self.kinds: dict[str, SpeedEstimate] = {}
+        self.factors: dict[tuple[str, str], float] = {}
+        self.runs_since_sweep = 0
 
     def note(self, worker: str, kind: str, run_ms: int, estimate_ms: int) -> None:
         """Take in a run that ended as done."""
@@ -51,10 +56,26 @@
             return
         ratio = run_ms / estimate_ms
         self.workers.setdefault(worker, SpeedEstimate()).note(ratio)
-        self.kinds.setdefault(kind, SpeedEstimate()).note(ratio)
+        of_kind = self.kinds.setdefault(kind, SpeedEstimate())
+        of_kind.note(ratio)
+        self.factors.pop((worker, kind), None)
+        self.runs_since_sweep += 1
+        # The first runs of a kind move its average most.
+        young = of_kind.runs < RUNS_PER_SWEEP
+        if young or self.runs_since_sweep >= RUNS_PER_SWEEP:
+            self.runs_since_sweep = 0
+            self.factors.clear()
 
     def factor(self, worker: str, kind: str) -> float:
         """Return the expected run time per estimated time at a worker."""
+        known = self.factors.get((worker, kind))
+        if known is None:
+            known = self.work_out(worker, kind)
+            self.factors[worker, kind] = known
+        return known
+
+    def work_out(self, worker: str, kind: str) -> float:
+        """Weigh a worker's own average against that of its kind."""
         own = self.workers.get(worker)
         prior = self.kinds.get(kind)
         own_runs = own.runs if own is not None else 0
