--- a/bench/soak.py
+++ b/bench/soak.py
@@ -41,7 +41,13 @@
 FAULT_GAP_S = (0.1, 0.8)
 FAULT_LENGTH_S = (0.1, 3.0)
 NO_ANSWER = 0
+HUNG = -1
+# Tries of a job before its caller gives up.
+TRIES = 6
+# Of the signals that do not end a program, this share freezes it.
+FREEZE_SHARE = 0.7
 REFUSALS = (429, 503)
+ENTRY_OR_AGENT = ("entry", "agent")
 
 
 class SoakPlan(NamedTuple):
@@ -127,7 +133,7 @@
         job = make_burst(tasks, self.random.randint(10, 300))
         statuses: list[int] = []
         state = ""
-        while not statuses or (statuses[-1] == NO_ANSWER and len(statuses) < 6):
+        while not statuses or (statuses[-1] == NO_ANSWER and len(statuses) < TRIES):
             if statuses:
                 time.sleep(RESUBMIT_S)
             status, state = self.ask(job_id, job)
@@ -150,7 +156,7 @@
             response = self.connection.getresponse()
             body = json.loads(response.read() or b"null") or {}
         except TimeoutError:
-            return -1, "hung"
+            return HUNG, "hung"
         except (OSError, http.client.HTTPException):
             if self.connection is not None:
                 self.connection.close()
@@ -194,8 +200,14 @@
 
     def begin(self) -> None:
         """Begin one fault on something that has none."""
-        kinds = [self.stop, self.signal, self.wire, self.worker, self.store]
-        kind = self.random.choice([*kinds, self.configure])
+        kinds = [
+            self.stop_program,
+            self.freeze_or_reload,
+            self.disturb_wire,
+            self.disturb_worker,
+            self.disturb_store,
+        ]
+        kind = self.random.choice([*kinds, self.change_configuration])
         kind(self.random.uniform(*FAULT_LENGTH_S))
 
     def take(self, what: str, target: str) -> bool:
@@ -220,7 +232,7 @@
         names = [name for name in self.fleet.processes if name[:5] in ENTRY_OR_AGENT]
         return self.random.choice(sorted(names))
 
-    def stop(self, length_s: float) -> None:
+    def stop_program(self, length_s: float) -> None:
         """Kill or terminate a program, and start it again."""
         name = self.program()
         number = self.random.choice((signal.SIGKILL, signal.SIGTERM))
@@ -228,10 +240,10 @@
             self.fleet.kill(name, number)
             self.later(length_s, name, lambda: self.fleet.restart(name))
 
-    def signal(self, length_s: float) -> None:
+    def freeze_or_reload(self, length_s: float) -> None:
         """Freeze a program or a worker, or tell a program to reload."""
         name = self.random.choice((self.program(), self.random_worker()))
-        if name.startswith("worker") or self.random.random() < 0.7:
+        if name.startswith("worker") or self.random.random() < FREEZE_SHARE:
             if self.take("SIGSTOP", name):
                 self.fleet.kill(name, signal.SIGSTOP)
                 self.later(
@@ -245,7 +257,7 @@
         """Choose a worker."""
         return f"worker-{self.random.randrange(len(self.fleet.agent_ips))}"
 
-    def wire(self, length_s: float) -> None:
+    def disturb_wire(self, length_s: float) -> None:
         """Delay, cut or reset what passes a proxy."""
         index = self.random.randrange(len(self.fleet.proxies()))
         proxy, target = self.fleet.proxies()[index], f"proxy-{index}"
@@ -263,7 +275,7 @@
 
         self.later(length_s, target, heal)
 
-    def worker(self, length_s: float) -> None:
+    def disturb_worker(self, length_s: float) -> None:
         """Let a worker fail, hang, refuse, lose starts or drain."""
         index = self.random.randrange(len(self.fleet.agent_ips))
         name = f"worker-{index}"
@@ -279,7 +291,7 @@
             length_s, name, lambda: set_fault(address, {fault: off, "late_ms": 0})
         )
 
-    def store(self, length_s: float) -> None:
+    def disturb_store(self, length_s: float) -> None:
         """Let the store be down or lose answers."""
         fault = self.random.choice(("outage", "lose_answers"))
         if self.take(fault, "store"):
@@ -290,16 +302,13 @@
                 length_s, "store", lambda: set_fault(self.fleet.store, {fault: off})
             )
 
-    def configure(self, _length_s: float) -> None:
+    def change_configuration(self, _length_s: float) -> None:
         """Publish a configuration of a higher version."""
         self.version += self.random.randint(1, 3)
         self.told.append(f"configuration {self.version}")
         self.fleet.configure(configuration(self.version))
 
 
-ENTRY_OR_AGENT = ("entry", "agent")
-
-
 def set_fault(address: str, faults: dict[str, object]) -> None:
     """Set faults of a stand-in."""
     call(address, "POST", "/faults", faults)
@@ -326,7 +335,7 @@
     ]
     jobs = {task.partition(".")[0] for task in by_task}
     for request in requests:
-        if "hung" in request.state:
+        if HUNG in request.statuses:
             broken.append(f"{request}: no answer")
         if set(request.statuses) <= set(REFUSALS) and request.job_id in jobs:
             broken.append(f"{request}: refused, but it has run")
