Use one retry, one profile message and one encoder where the change wrote twins

Waiting until the store answers stood three times (registration, reading and noting rooms): until_answered, which logs the first failure alone, as registration did; noting rooms logged each try. Telling an entry of the worker stood in agent_links already. What the worker reported is read from its report in place of a copy; a metrics page is returned by what loads it; JSON lines have one encoder; the soak uses the fleet's addresses. Behaviour stays, but for the wording of the registration's log line.

Played: tests of decisions, transport, platform, exposition, soak and deployed programs.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -282,10 +282,10 @@
         fault = self.random.choice(("fail", "hang", "down", "draining", "lose_starts"))
         if not self.take(fault, name):
             return
-        address = f"{self.fleet.agent_ips[index]}:{self.fleet.worker_port}"
+        address = self.fleet.worker(index)
         value = self.random.randint(1, 4) if fault == "lose_starts" else True
         late_ms = self.random.randint(10, 3_000)
-        call(address, "POST", "/faults", {fault: value, "late_ms": late_ms})
+        set_fault(address, {fault: value, "late_ms": late_ms})
         off = 0 if fault == "lose_starts" else False
         self.later(
             length_s, name, lambda: set_fault(address, {fault: off, "late_ms": 0})
@@ -318,8 +318,8 @@
     """Return all runs that workers have noted."""
     return [
         WorkerRun(*row)
-        for ip in fleet.agent_ips
-        for row in call(f"{ip}:{fleet.worker_port}", "GET", "/history")[1]
+        for index in range(len(fleet.agent_ips))
+        for row in call(fleet.worker(index), "GET", "/history")[1]
     ]
 
 
--- a/src/sardineferry/decision/burst/agent_links.py
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -35,7 +35,7 @@
     from sardineferry.decision.burst.agent_state import BurstAgentState
     from sardineferry.messages import WireMessage
 
-__all__ = ["ROOM_GAP_MS", "check_owners", "push_room", "send_beats"]
+__all__ = ["ROOM_GAP_MS", "check_owners", "push_room", "send_beats", "send_profile"]
 
 # Changes of room within this time travel in one push; an entry that places by
 # older room is refused, which costs it a round trip of about 3 ms.
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -143,8 +143,7 @@
         # Room and labels stay with the machine across lives of its worker.
         self.total: Resources | None = None
         self.labels: tuple[str, ...] = ()
-        # Room by the worker's own report, and as noted for later processes.
-        self.reported: Resources | None = None
+        # Room as noted on the store for later processes.
         self.remembered: Resources | None = None
         self.memory_read = False
         self.runs: dict[RunRef, Run] = {}
--- a/src/sardineferry/decision/burst/agent_worker.py
+++ b/src/sardineferry/decision/burst/agent_worker.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from sardineferry.decision.burst import agent_links
 from sardineferry.decision.burst import agent_runs
 from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.agent_rules import handle_agent_event
@@ -16,10 +17,8 @@
 from sardineferry.decision.burst.worker import StopRun
 from sardineferry.decision.burst.worker import WorkerLeft
 from sardineferry.decision.burst.worker import WorkerSeen
-from sardineferry.decision.effects import Send
 from sardineferry.messages.burst import ENDED_LOST
 from sardineferry.messages.burst import Resources
-from sardineferry.messages.burst import WorkerProfile
 
 if TYPE_CHECKING:
     from sardineferry.decision.burst.agent_state import BurstAgentState
@@ -55,7 +54,6 @@
             # A delayed report of an earlier life at the same address.
             return
         begin_life(state, event, now_ms)
-    state.reported = event.total
     remember_room(state)
     if state.total != event.total or state.labels != event.labels:
         state.total = event.total
@@ -66,12 +64,9 @@
 def send_profiles(state: BurstAgentState) -> None:
     """Tell all entries what the worker is."""
     state.room_dirty = True
-    if state.total is None:
-        return
-    profile = WorkerProfile(state.service, state.total, state.labels)
     for owner in state.owners.values():
         if owner.linked:
-            state.effects.append(Send(owner.link, profile))
+            agent_links.send_profile(state, owner)
 
 
 @handle_agent_event.register(RoomRemembered)
@@ -95,10 +90,13 @@
 
 def remember_room(state: BurstAgentState) -> None:
     """Note the worker's room if it differs from what is noted."""
-    known = state.reported
-    if state.memory_read and known is not None and known != state.remembered:
-        state.remembered = known
-        state.effects.append(RememberRoom(known))
+    worker = state.worker
+    if not state.memory_read or worker is None:
+        return
+    report = worker.report
+    if report.sequence != UNREPORTED and report.total != state.remembered:
+        state.remembered = report.total
+        state.effects.append(RememberRoom(report.total))
 
 
 def is_same_life(known: WorkerSeen, event: WorkerSeen) -> bool:
@@ -226,13 +224,12 @@
     """
     if state.worker is not None or event.clock_ms is None or event.born_ms is None:
         return
-    total = state.total or Resources()
     seen = WorkerSeen(
         UNNAMED,
         event.born_ms,
         UNREPORTED,
         state.service,
-        total,
+        Resources(),
         state.labels,
         draining=False,
         clock_ms=event.clock_ms,
--- a/src/sardineferry/exposition.py
+++ b/src/sardineferry/exposition.py
@@ -50,27 +50,26 @@
         self.http.start()
         self.timer.start()
 
-    def load(self) -> None:
+    def load(self) -> MetricsPage:
         """Load the metrics library and count what came before."""
         from sardineferry.metrics_page import MetricsPage
 
         page = MetricsPage(self.counters)
         with self.lock:
             if self.page is not None:
-                return
+                return self.page
             for observation in self.early:
                 page.observe(*observation)
             self.early.clear()
             self.page = page
+        return page
 
     def respond(
         self, environ: WSGIEnvironment, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Show the page; the first request loads it if it comes early."""
-        if self.page is None:
-            self.load()
-        assert self.page is not None
-        return self.page.application(environ, start_response)
+        page = self.page or self.load()
+        return page.application(environ, start_response)
 
     def observe(self, what: str, outcome: str, elapsed_ms: int) -> None:
         """Count one latency."""
--- a/src/sardineferry/logs.py
+++ b/src/sardineferry/logs.py
@@ -80,7 +80,7 @@
             "part": part,
             **fields,
         }
-        self.put(msgspec.json.encode(record, enc_hook=str).decode() + "\n")
+        self.put(encode_fields(record) + "\n")
 
     def put(self, line: str) -> None:
         """Queue a line, or drop it."""
@@ -107,6 +107,11 @@
             self.stream.flush()
 
 
+def encode_fields(fields: dict[str, object]) -> str:
+    """Return a JSON object; what JSON has no form for becomes its text."""
+    return msgspec.json.encode(fields, enc_hook=str).decode()
+
+
 def format_json(record: Record) -> str:
     """Put a record into one line of JSON; returns the template for it."""
     fields = {
@@ -117,7 +122,7 @@
     }
     if record["exception"] is not None:
         fields["error"] = repr(record["exception"].value)
-    record["extra"]["line"] = msgspec.json.encode(fields, enc_hook=str).decode()
+    record["extra"]["line"] = encode_fields(fields)
     return "{extra[line]}\n"
 
 
--- a/src/sardineferry/platform/memory.py
+++ b/src/sardineferry/platform/memory.py
@@ -7,11 +7,11 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from returns.result import Failure
 
 from sardineferry.decision.burst.worker import RoomRemembered
 from sardineferry.logs import part_logger
 from sardineferry.messages.burst import Resources
+from sardineferry.platform.retry import until_answered
 from sardineferry.platform.store import StoreClient
 from sardineferry.platform.store import keyed_record
 
@@ -21,8 +21,6 @@
 __all__ = ["ROOMS_TOPIC", "RoomMemory"]
 
 ROOMS_TOPIC = "keyed.sardineferry-rooms"
-# Between tries while the store fails.
-RETRY_S = 0.2
 
 logger = part_logger("store")
 
@@ -57,10 +55,8 @@
 
     def read(self) -> Resources | None:
         """Return the noted room, however long the store is away."""
-        while isinstance(answer := self.client.newest(ROOMS_TOPIC), Failure):
-            logger.warning("Reading rooms fails: {}.", answer.failure().reason)
-            threading.Event().wait(RETRY_S)
-        value = answer.unwrap().values.get(self.key)
+        found = until_answered("Reading rooms", lambda: self.client.newest(ROOMS_TOPIC))
+        value = found.values.get(self.key)
         if not value:
             return None
         try:
@@ -72,6 +68,6 @@
     def write(self, total: Resources) -> None:
         """Append until the store has acknowledged; a repeat changes nothing."""
         record = keyed_record(self.key, msgspec.msgpack.encode(total))
-        while isinstance(answer := self.client.append(ROOMS_TOPIC, [record]), Failure):
-            logger.warning("Noting a room fails: {}.", answer.failure().reason)
-            threading.Event().wait(RETRY_S)
+        until_answered(
+            "Noting a room", lambda: self.client.append(ROOMS_TOPIC, [record])
+        )
--- a/src/sardineferry/platform/watch.py
+++ b/src/sardineferry/platform/watch.py
@@ -12,6 +12,8 @@
 from sardineferry.decision.events import AddressesRead
 from sardineferry.logs import part_logger
 from sardineferry.platform.configuration import CONFIG_KEY
+from sardineferry.platform.retry import RETRY_S
+from sardineferry.platform.retry import until_answered
 from sardineferry.platform.store import StoreClient
 from sardineferry.platform.store import keyed_record
 
@@ -31,9 +33,6 @@
 
 # Where entries register their link addresses.
 ENTRIES_TOPIC = "keyed.sardineferry-entries"
-# Between tries while the store fails; a new configuration has to be in force
-# within 2 s.
-RETRY_S = 0.2
 RETRY_SPREAD = 0.5
 
 logger = part_logger("store")
@@ -159,12 +158,6 @@
 
     def run(self) -> None:
         """Append until the store has acknowledged; a repeat changes nothing."""
-        failures = 0
-        while isinstance(
-            answer := self.client.append(ENTRIES_TOPIC, [self.record]), Failure
-        ):
-            failures += 1
-            if failures == 1:
-                logger.warning("Registering fails: {}.", answer.failure().reason)
-            threading.Event().wait(RETRY_S)
-        logger.info("Registered after {} failures.", failures)
+        until_answered(
+            "Registering", lambda: self.client.append(ENTRIES_TOPIC, [self.record])
+        )
