--- a/src/sardineferry/burst/agent.py
+++ b/src/sardineferry/burst/agent.py
@@ -74,12 +74,9 @@
             watch.start()
         parts.exposition.start()
         state = parts.core.state
-        fields = {
-            "name": state.name,
-            "incarnation": state.incarnation,
-            "token": state.fencing_token,
-        }
-        self.logger.info("Started.", extra={"fields": fields})
+        self.log_started(
+            name=state.name, incarnation=state.incarnation, token=state.fencing_token
+        )
 
     def leave(self) -> None:
         """End every part; what is on its way to entries leaves first."""
--- a/src/sardineferry/burst/entry.py
+++ b/src/sardineferry/burst/entry.py
@@ -92,8 +92,7 @@
         parts.callers.start()
         parts.readiness.start()
         state = parts.core.state
-        fields = {"name": state.name, "incarnation": state.incarnation}
-        self.logger.info("Started.", extra={"fields": fields})
+        self.log_started(name=state.name, incarnation=state.incarnation)
 
     def begin_drain(self) -> None:
         """Close each caller's connection with its next answer."""
--- a/src/sardineferry/burst/program.py
+++ b/src/sardineferry/burst/program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 from typing import Protocol
@@ -113,6 +114,11 @@
         parts.loop.run()
         parts.log.write_waiting()
 
+    def log_started(self, **fields: object) -> None:
+        """Log that the process serves, and the processor time that it took."""
+        fields["processor_ms"] = int(time.process_time() * MS_PER_S)
+        self.logger.info("Started.", extra={"fields": fields})
+
     def end_after(self, delay_s: float) -> None:
         """End the loop after a delay, in which what was sent leaves."""
         self.logger.info("Stopped.")
