Link an agent to the entries of its data centre and one of each other

Cause: links grew with entries times agents (5,600 at 35 x 160), and with them signs of life, pushes of room and bytes between data centres.

Change: decision/burst/entry_choice (rendezvous hashing of names, pure) and agent_membership: entries of the own data centre and one of each other; one that is away for a second is stood in for; a link that is not needed any more tells its entry so and ends 1.5 s later without an order. Entries register with their data centre. An entry's fair share of a worker counts those that share it.

Ruled out: shares chosen by the entries (they would need all agents' names and a way to dial them).

Tests: evenness and reach at the users' sizes up to 60 x 300, connectedness of entries through agents though a data centre is lost, absent and returning entries, no link ended with runs on it.

--- a/src/sardineferry/decision/burst/agent.py
+++ b/src/sardineferry/decision/burst/agent.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sardineferry.decision.burst import agent_links
+from sardineferry.decision.burst import agent_membership
 from sardineferry.decision.burst import agent_runs
 from sardineferry.decision.burst import agent_worker
 from sardineferry.decision.burst import timing
@@ -18,7 +19,7 @@
 __all__ = ["RULES", "BurstAgentCore", "BurstAgentState"]
 
 # Importing these modules registers their rules.
-RULES = (agent_links, agent_runs, agent_worker)
+RULES = (agent_links, agent_membership, agent_runs, agent_worker)
 
 IDLE_TICK_MS = 100
 # What is left of the grace for stopping runs and for telling their ends.
@@ -46,6 +47,8 @@
         state = self.state
         agent_worker.check_worker(state, now_ms)
         agent_links.check_owners(state, now_ms)
+        if now_ms >= state.next_review_ms:
+            agent_membership.review_links(state, now_ms)
         agent_links.send_beats(state, now_ms)
         if state.leaving_ms is not None:
             self.leave(state.leaving_ms, now_ms)
--- a/src/sardineferry/decision/burst/agent_links.py
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -4,16 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from sardineferry.decision.burst import agent_membership
 from sardineferry.decision.burst import agent_runs
 from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.agent_rules import handle_agent_event
 from sardineferry.decision.burst.agent_state import Owner
 from sardineferry.decision.burst.effects import DropLink
 from sardineferry.decision.burst.effects import LogDecision
-from sardineferry.decision.burst.membership import EntriesRead
-from sardineferry.decision.link_effects import Connect
 from sardineferry.decision.link_effects import Send
-from sardineferry.decision.link_events import AddressesRead
 from sardineferry.decision.link_events import Drain
 from sardineferry.decision.link_events import LinkDown
 from sardineferry.decision.link_events import LinkUp
@@ -31,9 +29,8 @@
 from sardineferry.messages.burst import WorkerRoom
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from sardineferry.decision.burst.agent_state import BurstAgentState
+    from sardineferry.messages.burst import Resources
 
 __all__ = ["ROOM_GAP_MS", "check_owners", "push_room", "send_beats", "send_profile"]
 
@@ -53,9 +50,10 @@
 
 @handle_agent_event.register(LinkUp)
 def on_link_up(
-    event: LinkUp, state: BurstAgentState, _sender: str, _now_ms: int
+    event: LinkUp, state: BurstAgentState, _sender: str, now_ms: int
 ) -> None:
     """Announce the worker; the entry answers with its name."""
+    agent_membership.note_link(state, event.name, True, now_ms)
     announce = WorkerAnnounce(state.name, state.incarnation, state.data_centre)
     state.effects.append(Send(event.name, announce))
 
@@ -65,6 +63,7 @@
     event: LinkDown, state: BurstAgentState, _sender: str, now_ms: int
 ) -> None:
     """Keep the runs: the entry may be back within the silence bound."""
+    agent_membership.note_link(state, event.name, False, now_ms)
     name = state.link_owners.pop(event.name, None)
     owner = state.owners.get(name) if name else None
     if owner is None or owner.link != event.name:
@@ -95,7 +94,7 @@
         state.total = event.profile.total
         state.labels = event.profile.labels
         state.room_dirty = True
-    connect_to(state, [place.address for place in event.entries])
+    agent_membership.note_welcome(state, event, sender, now_ms)
     greet(state, owner, now_ms)
     log_link(state, "link made", owner, now_ms)
 
@@ -118,30 +117,6 @@
     state.effects.extend(state.config.offers([owner.link]))
 
 
-def connect_to(state: BurstAgentState, addresses: Iterable[str]) -> None:
-    """Dial entries that were not known."""
-    for address in addresses:
-        if address not in state.addresses:
-            state.addresses.add(address)
-            state.effects.append(Connect(address))
-
-
-@handle_agent_event.register(AddressesRead)
-def on_addresses(
-    event: AddressesRead, state: BurstAgentState, _sender: str, _now_ms: int
-) -> None:
-    """Dial entries that the settings name."""
-    connect_to(state, event.addresses)
-
-
-@handle_agent_event.register(EntriesRead)
-def on_entries(
-    event: EntriesRead, state: BurstAgentState, _sender: str, _now_ms: int
-) -> None:
-    """Dial entries that are registered on the platform's store."""
-    connect_to(state, [place.address for place in event.places])
-
-
 @handle_agent_event.register(EntryBeat)
 def on_entry_beat(
     event: EntryBeat, state: BurstAgentState, sender: str, now_ms: int
@@ -224,12 +199,23 @@
 
 def send_room(state: BurstAgentState, owner: Owner, now_ms: int) -> None:
     """Tell an entry the worker's room."""
-    owner.room_sent = (state.free(), state.accepting())
+    owner.room_sent = room_for(state, owner)
     owner.room_sent_ms = now_ms
     room = WorkerRoom(now_ms, *owner.room_sent, owner.last_order)
     state.effects.append(Send(owner.link, room))
 
 
+def is_retiring(state: BurstAgentState, owner: Owner) -> bool:
+    """Tell whether the link to an entry is about to end."""
+    dialled = state.dialled.get(owner.link)
+    return dialled is not None and dialled.retire_ms is not None
+
+
+def room_for(state: BurstAgentState, owner: Owner) -> tuple[Resources, bool]:
+    """Return what an entry is to know: the room, and whether it may order."""
+    return state.free(), state.accepting() and not is_retiring(state, owner)
+
+
 def push_room(state: BurstAgentState, now_ms: int) -> None:
     """Tell entries of a change of room, first those with work for the worker.
 
@@ -239,17 +225,19 @@
     if not state.room_dirty:
         return
     room = (state.free(), state.accepting())
+    retiring = (room[0], False)
     behind = [
         owner
         for owner in state.owners.values()
-        if owner.linked and owner.room_sent != room
+        if owner.linked
+        and owner.room_sent != (retiring if is_retiring(state, owner) else room)
     ]
     watching = sum(now_ms < owner.watches_until_ms for owner in behind)
     gap_ms = max(ROOM_GAP_MS, ROOM_GAP_PER_ENTRY_MS * watching)
     state.room_dirty = False
     state.room_urgent = False
     for owner in behind:
-        if owner.room_sent is None or owner.room_sent[1] != room[1]:
+        if owner.room_sent is None or owner.room_sent[1] != room_for(state, owner)[1]:
             due_ms = now_ms
         elif now_ms < owner.watches_until_ms:
             due_ms = owner.room_sent_ms + gap_ms
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -13,8 +13,11 @@
 from sardineferry.messages.burst import RunEnded
 
 if TYPE_CHECKING:
+    from sardineferry.decision.burst.agent_membership import DialledEntry
     from sardineferry.decision.burst.effects import BurstEffect
+    from sardineferry.decision.burst.entry_choice import Ranking
     from sardineferry.decision.burst.worker import WorkerSeen
+    from sardineferry.messages.burst import EntryPlace
     from sardineferry.messages.burst import RunRef
 
 __all__ = ["BurstAgentState", "Owner", "Run", "WorkerLife"]
@@ -138,7 +141,12 @@
         self.config = ConfigRelay()
         self.owners: dict[str, Owner] = {}
         self.link_owners: dict[str, str] = {}
-        self.addresses: set[str] = set()
+        # Entries by name, how the agent prefers them, and the addresses that it
+        # keeps links to.
+        self.places: dict[str, EntryPlace] = {}
+        self.ranking: Ranking = {}
+        self.dialled: dict[str, DialledEntry] = {}
+        self.next_review_ms = 0
         self.worker: WorkerLife | None = None
         # Room and labels stay with the machine across lives of its worker.
         self.total: Resources | None = None
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -69,7 +69,13 @@
     view.incarnation = event.incarnation
     view.linked = True
     view.heard_ms = now_ms
-    welcome = EntryWelcome(state.name, state.incarnation, view.profile, state.places)
+    welcome = EntryWelcome(
+        state.name,
+        state.incarnation,
+        state.data_centre,
+        view.profile,
+        state.places,
+    )
     state.effects.append(Send(sender, welcome))
     state.effects.extend(state.relay.offers([sender]))
     log_agent(state, "agent linked", view, now_ms)
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -8,6 +8,7 @@
 from sardineferry.decision.burst.configuration import match_route
 from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.effects import ObserveLatency
+from sardineferry.decision.burst.entry_choice import link_count
 from sardineferry.decision.burst.entry_placing import usable
 from sardineferry.decision.burst.entry_rules import handle_entry_event
 from sardineferry.decision.burst.entry_state import ActiveJob
@@ -102,7 +103,9 @@
         and (not step.required_label or step.required_label in profile.labels)
     ]
     if not able:
-        return ("no worker is large enough or has the label", 0)
+        # Entries that are linked to other workers may know one.
+        retry_ms = NO_WORKER_RETRY_MS if sharers(state) < len(state.places) else 0
+        return ("no worker is large enough or has the label", retry_ms)
     run_ms = step.estimate_ms * state.speeds.typical()
     if state.leaving_ms is not None:
         left_ms = state.leaving_ms + state.grace_ms - now_ms
@@ -139,7 +142,12 @@
         used += view.profile.total.cpu - view.free.cpu
         own += sum(placed.job.step.need.cpu for placed in view.runs.values())
     share = own / used if used > 0 else 0.0
-    return capacity * min(1.0, max(share, 1.0 / max(1, len(state.places))))
+    return capacity * min(1.0, max(share, 1.0 / max(1, sharers(state))))
+
+
+def sharers(state: BurstEntryState) -> int:
+    """Return how many entries share the agents that this one is linked to."""
+    return link_count(state.data_centre, state.places)
 
 
 def refuse(
--- a/src/sardineferry/messages/burst.py
+++ b/src/sardineferry/messages/burst.py
@@ -124,6 +124,7 @@
 
     entry: str
     incarnation: str
+    data_centre: str
     profile: WorkerProfile | None
     entries: tuple[EntryPlace, ...]
 
--- a/tests/decision/burst/drive.py
+++ b/tests/decision/burst/drive.py
@@ -186,7 +186,7 @@
 
     def link(self, link: str = LINK, entry: str = "e", incarnation: str = "1") -> None:
         self.handle(LinkUp(link))
-        self.handle(EntryWelcome(entry, incarnation, None, ()), link)
+        self.handle(EntryWelcome(entry, incarnation, "dc", None, ()), link)
 
     def handle(self, event: object, sender: str = LINK) -> list[object]:
         effects: list[object] = list(self.core.handle(event, sender, self.now_ms))
--- a/tests/decision/burst/test_agent.py
+++ b/tests/decision/burst/test_agent.py
@@ -431,7 +431,7 @@
     # An entry that knew the worker tells its room.
     agent.handle(LinkUp(LINK))
     profile = WorkerProfile("desk", TOTAL, ("a",))
-    agent.handle(EntryWelcome("e", "1", profile, ()))
+    agent.handle(EntryWelcome("e", "1", "dc", profile, ()))
     assert not agent.state.accepting()
     agent.hold(born_ms=1, clock_ms=5_000)
     agent.effects.clear()
