Carry signs of life on pushes of room; wake agents only when something is due

Cause: on a link with work a beat and its echo went each 100 ms beside pushes of room that carry the same stamp; an idle entry was told of each change within 300 ms, 36 messages a second of an agent with 11 entries; an agent with runs was woken each 20 ms, and added up all runs for each event.

Change: a beat goes only where no push has carried a stamp meanwhile; an entry echoes the stamps of pushes, at most each 60 ms (400 ms without runs there); idle pushes are rarer the more entries there are, and half as often to other data centres; an agent's tick is the next thing that is due; its free room is kept, not added up. Entries tick each 40 ms while busy.

The sum of bounds is as before; that the loss of an entry is noticed within a tick of its bound has a test of its own.

--- a/src/sardineferry/core_loop.py
+++ b/src/sardineferry/core_loop.py
@@ -24,6 +24,8 @@
 # Events that are applied before links and callers are served again.
 BATCH_LIMIT = 256
 MS_PER_S = 1_000
+# Once the core has exited, nothing is due.
+IDLE_WAIT_S = 1.0
 
 EffectT = TypeVar("EffectT")
 EffectT_co = TypeVar("EffectT_co", covariant=True)
@@ -73,6 +75,8 @@
 
     def wait_s(self) -> float:
         """Return how long the next turn may wait."""
+        if self.has_exited:
+            return IDLE_WAIT_S
         if self.mailbox.events:
             return 0.0
         return (self.next_tick_ms - now_ms()) / MS_PER_S
--- a/src/sardineferry/decision/burst/agent.py
+++ b/src/sardineferry/decision/burst/agent.py
@@ -21,7 +21,9 @@
 # Importing these modules registers their rules.
 RULES = (agent_links, agent_membership, agent_runs, agent_worker)
 
-IDLE_TICK_MS = 100
+IDLE_TICK_MS = 250
+# Between looks whether the worker has gone silent.
+BUSY_TICK_MS = 50
 # What is left of the grace for stopping runs and for telling their ends.
 STOP_RESERVE_MS = 900
 LAST_WORDS_MS = 150
@@ -34,9 +36,12 @@
     def __init__(self, state: BurstAgentState) -> None:
         """Drive this state."""
         self.state = state
+        # The clock as last heard of.
+        self.now_ms = 0
 
     def handle(self, event: object, sender: str, now_ms: int) -> list[BurstEffect]:
         """Apply an event from a link (``sender``) or from the process."""
+        self.now_ms = now_ms
         handle_agent_event(event, self.state, sender, now_ms)
         agent_worker.request_hold(self.state, now_ms)
         agent_links.push_room(self.state, now_ms)
@@ -44,6 +49,7 @@
 
     def tick(self, now_ms: int) -> list[BurstEffect]:
         """Apply what is due by the clock."""
+        self.now_ms = now_ms
         state = self.state
         agent_worker.check_worker(state, now_ms)
         agent_links.check_owners(state, now_ms)
@@ -69,12 +75,30 @@
             state.effects.append(Exit("drained" if idle else "grace is over"))
 
     def tick_interval_ms(self) -> int:
-        """Return how long the next tick may wait."""
-        busy = self.state.runs or self.state.leaving_ms is not None
-        interval_ms = timing.TICK_MS if busy else IDLE_TICK_MS
-        if self.state.room_urgent:
-            return min(interval_ms, agent_links.ROOM_GAP_MS)
-        return interval_ms
+        """Return how long the next tick may wait.
+
+        Most of an agent's time is waiting: it is woken when something is due.
+        """
+        return max(1, self.next_due_ms() - self.now_ms)
+
+    def next_due_ms(self) -> int:
+        """Return when the clock next has something to do."""
+        state = self.state
+        due_ms = [self.now_ms + IDLE_TICK_MS, state.next_review_ms]
+        if state.room_due_ms is not None:
+            due_ms.append(state.room_due_ms)
+        if not state.hold_pending and state.next_hold_ms > self.now_ms:
+            due_ms.append(state.next_hold_ms)
+        if state.leaving_ms is not None:
+            due_ms.append(self.now_ms + timing.TICK_MS)
+        due_ms.extend(beat_ms for _, beat_ms in agent_links.beats_due(state))
+        for run in state.runs.values():
+            due_ms.append(state.owners[run.owner].alive_until_ms + 1)
+            if run.stop_due_ms is not None:
+                due_ms.append(run.stop_due_ms)
+        if state.runs:
+            due_ms.append(self.now_ms + BUSY_TICK_MS)
+        return min(due_ms)
 
     def take_effects(self) -> list[BurstEffect]:
         """Return and clear the collected effects."""
--- a/src/sardineferry/decision/burst/agent_links.py
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -29,10 +29,12 @@
 from sardineferry.messages.burst import WorkerRoom
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from sardineferry.decision.burst.agent_state import BurstAgentState
     from sardineferry.messages.burst import Resources
 
-__all__ = ["ROOM_GAP_MS", "check_owners", "push_room", "send_beats", "send_profile"]
+__all__ = ["beats_due", "check_owners", "push_room", "send_beats", "send_profile"]
 
 # Changes of room within this time travel in one push; an entry that places by
 # older room is refused, which costs it a round trip of about 3 ms.
@@ -40,9 +42,13 @@
 # With many entries pushes are rarer, so that what an entry gets of all agents
 # does not grow with the number of entries.
 ROOM_GAP_PER_ENTRY_MS = 3
-# To an entry without work for this worker: with 13 entries and 72 workers an
-# entry then reads 240 such pushes a second.
+# To an entry without work for this worker, and more with each entry: an entry
+# that gets work asks for all changes at once. With 11 entries on each of 160
+# workers one of 35 entries reads about 70 such pushes a second.
 ROOM_GAP_IDLE_MS = 300
+ROOM_GAP_IDLE_PER_ENTRY_MS = 50
+# Bytes between data centres are dear, and near workers are used first.
+FAR_FACTOR = 2
 # Ends are told again on a new link for this long: an entry has given up a run
 # of an agent that was away for longer.
 ENDS_RESENT_MS = 10_000
@@ -83,7 +89,8 @@
             agent_runs.begin_stop(state, run, "entry restarted")
         owner = None
     if owner is None:
-        owner = Owner(event.entry, event.incarnation, sender, now_ms)
+        near = event.data_centre == state.data_centre
+        owner = Owner(event.entry, event.incarnation, sender, near, now_ms)
         state.owners[event.entry] = owner
     owner.link = sender
     owner.linked = True
@@ -201,6 +208,7 @@
     """Tell an entry the worker's room."""
     owner.room_sent = room_for(state, owner)
     owner.room_sent_ms = now_ms
+    owner.stamp_sent_ms = now_ms
     room = WorkerRoom(now_ms, *owner.room_sent, owner.last_order)
     state.effects.append(Send(owner.link, room))
 
@@ -222,43 +230,53 @@
     Answers many entries and many workers: if each change went to each entry at
     once, small instances would do little but read them.
     """
-    if not state.room_dirty:
+    is_due = state.room_due_ms is not None and now_ms >= state.room_due_ms
+    if not state.room_dirty and not is_due:
         return
-    room = (state.free(), state.accepting())
-    retiring = (room[0], False)
-    behind = [
-        owner
-        for owner in state.owners.values()
-        if owner.linked
-        and owner.room_sent != (retiring if is_retiring(state, owner) else room)
-    ]
-    watching = sum(now_ms < owner.watches_until_ms for owner in behind)
-    gap_ms = max(ROOM_GAP_MS, ROOM_GAP_PER_ENTRY_MS * watching)
     state.room_dirty = False
-    state.room_urgent = False
-    for owner in behind:
-        if owner.room_sent is None or owner.room_sent[1] != room_for(state, owner)[1]:
+    state.room_due_ms = None
+    linked = [owner for owner in state.owners.values() if owner.linked]
+    watching = sum(now_ms < owner.watches_until_ms for owner in linked)
+    gap_ms = max(ROOM_GAP_MS, ROOM_GAP_PER_ENTRY_MS * watching)
+    idle_gap_ms = max(ROOM_GAP_IDLE_MS, ROOM_GAP_IDLE_PER_ENTRY_MS * len(linked))
+    for owner in linked:
+        room = room_for(state, owner)
+        if owner.room_sent == room:
+            continue
+        if owner.room_sent is None or owner.room_sent[1] != room[1]:
             due_ms = now_ms
         elif now_ms < owner.watches_until_ms:
             due_ms = owner.room_sent_ms + gap_ms
+        elif owner.near:
+            due_ms = owner.room_sent_ms + idle_gap_ms
         else:
-            due_ms = owner.room_sent_ms + ROOM_GAP_IDLE_MS
+            due_ms = owner.room_sent_ms + FAR_FACTOR * idle_gap_ms
         if now_ms >= due_ms:
             send_room(state, owner, now_ms)
-        else:
-            state.room_dirty = True
-            state.room_urgent = state.room_urgent or now_ms < owner.watches_until_ms
+        elif state.room_due_ms is None or due_ms < state.room_due_ms:
+            state.room_due_ms = due_ms
 
 
 def send_beats(state: BurstAgentState, now_ms: int) -> None:
-    """Send each linked entry a stamp to echo, often while it has runs here."""
+    """Send each linked entry a stamp to echo, often while it has runs here.
+
+    Answers hundreds of links: only to those that no other message has carried
+    a stamp to meanwhile.
+    """
+    for owner, due_ms in beats_due(state):
+        if now_ms >= due_ms:
+            owner.stamp_sent_ms = now_ms
+            state.effects.append(Send(owner.link, AgentBeat(now_ms)))
+
+
+def beats_due(state: BurstAgentState) -> Iterator[tuple[Owner, int]]:
+    """Yield linked entries, each with the time by which it needs a stamp."""
     busy = {run.owner for run in state.runs.values()}
     for owner in state.owners.values():
-        if not owner.linked or now_ms < owner.next_beat_ms:
-            continue
-        gap_ms = timing.BUSY_BEAT_MS if owner.name in busy else timing.IDLE_BEAT_MS
-        owner.next_beat_ms = now_ms + gap_ms
-        state.effects.append(Send(owner.link, AgentBeat(now_ms)))
+        if owner.linked:
+            is_busy = owner.name in busy
+            gap_ms = timing.BUSY_BEAT_MS if is_busy else timing.IDLE_BEAT_MS
+            yield owner, owner.stamp_sent_ms + gap_ms
 
 
 def check_owners(state: BurstAgentState, now_ms: int) -> None:
--- a/src/sardineferry/decision/burst/agent_runs.py
+++ b/src/sardineferry/decision/burst/agent_runs.py
@@ -67,8 +67,6 @@
     owner.heard_ms = now_ms
     owner.watches_until_ms = now_ms + timing.WATCH_MS
     state.room_dirty = True
-    # The next beat was planned for an idle link, which is too late for a run.
-    owner.next_beat_ms = min(owner.next_beat_ms, now_ms + timing.BUSY_BEAT_MS)
     fresh = now_ms <= event.expires_ms
     if fresh:
         owner.alive_until_ms = max(owner.alive_until_ms, event.expires_ms)
@@ -101,7 +99,7 @@
             event.expires_ms,
             event.movable,
         )
-        state.runs[ref] = run
+        state.add_run(run)
         send_start(state, run, now_ms)
 
 
@@ -272,7 +270,7 @@
     """Free a run's room and tell its entry; a stopped run tells why."""
     if how == ENDED_LOST and run.stop_reason:
         reason = run.stop_reason
-    state.runs.pop(run.ref, None)
+    state.remove_run(run)
     state.room_dirty = True
     state.last_end_ms = now_ms
     state.counters[f"runs_{how}"] += 1
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -79,17 +79,21 @@
 class Owner:
     """An entry, across the links that it has had."""
 
-    def __init__(self, name: str, incarnation: str, link: str, now_ms: int) -> None:
-        """Begin on its first link."""
+    def __init__(
+        self, name: str, incarnation: str, link: str, near: bool, now_ms: int
+    ) -> None:
+        """Begin on its first link; ``near`` is in the agent's data centre."""
         self.name = name
+        self.near = near
         self.incarnation = incarnation
         self.link = link
         self.linked = True
         # Without a newer echo of our stamps its runs are stopped after this.
         self.alive_until_ms = now_ms + timing.SILENCE_MS
         self.heard_ms = now_ms
-        self.next_beat_ms = 0
         self.last_order = 0
+        # When the newest stamp was sent, in whatever message.
+        self.stamp_sent_ms = 0
         # Pushes of room: often until this time, as it has work for the worker.
         self.watches_until_ms = 0
         self.room_sent: tuple[Resources, bool] | None = None
@@ -152,6 +156,8 @@
         self.total: Resources | None = None
         self.labels: tuple[str, ...] = ()
         self.runs: dict[RunRef, Run] = {}
+        # What they take, also those that are being stopped.
+        self.taken = Resources()
         # Runs at the worker that nobody here ordered, being stopped.
         self.strays: set[RunRef] = set()
         self.inventoried = False
@@ -161,18 +167,25 @@
         self.ends_to_acknowledge = False
         self.lease_sent_ms = 0
         self.worker_answer_ms = 0
-        # An entry may not know the room; one that watches it does not.
+        # An entry may not know the room, or is to be told at a time.
         self.room_dirty = False
-        self.room_urgent = False
+        self.room_due_ms: int | None = None
         self.leaving_ms: int | None = None
         self.last_end_ms = 0
 
+    def add_run(self, run: Run) -> None:
+        """Take room for a run."""
+        self.runs[run.ref] = run
+        self.taken = self.taken.plus(run.need)
+
+    def remove_run(self, run: Run) -> None:
+        """Free a run's room, once."""
+        if self.runs.pop(run.ref, None) is not None:
+            self.taken = self.taken.minus(run.need)
+
     def free(self) -> Resources:
         """Return the room that no run takes; what is stopped still counts."""
-        room = self.total or Resources()
-        for run in self.runs.values():
-            room = room.minus(run.need)
-        return room
+        return (self.total or Resources()).minus(self.taken)
 
     def accepting(self) -> bool:
         """Tell whether runs may be started."""
--- a/src/sardineferry/decision/burst/entry.py
+++ b/src/sardineferry/decision/burst/entry.py
@@ -8,7 +8,6 @@
 from sardineferry.decision.burst import entry_callers
 from sardineferry.decision.burst import entry_config
 from sardineferry.decision.burst import entry_placing
-from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.entry_rules import handle_entry_event
 from sardineferry.decision.burst.entry_state import BurstEntryState
 from sardineferry.decision.link_effects import Exit
@@ -23,7 +22,10 @@
 # Importing these modules registers their rules.
 RULES = (entry_agents, entry_callers, entry_config)
 
-IDLE_TICK_MS = 100
+IDLE_TICK_MS = 200
+# Between looks for jobs to give up and for agents that are lost; what can be
+# placed is placed by events.
+BUSY_TICK_MS = 40
 # The balancer takes an entry out after two missed checks, one a second.
 ROTATION_MS = 2_500
 # What is left of the grace for telling callers.
@@ -74,7 +76,7 @@
     def tick_interval_ms(self) -> int:
         """Return how long the next tick may wait."""
         busy = self.state.jobs or self.state.leaving_ms is not None
-        return timing.TICK_MS if busy else IDLE_TICK_MS
+        return BUSY_TICK_MS if busy else IDLE_TICK_MS
 
     def take_effects(self) -> list[BurstEffect]:
         """Return and clear the collected effects."""
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -111,6 +111,9 @@
     if view is None:
         return
     view.note_stamp(event.sent_at_ms, now_ms)
+    gap_ms = timing.ECHO_GAP_MS if view.runs else timing.IDLE_ECHO_GAP_MS
+    if now_ms - view.echoed_ms >= gap_ms:
+        echo(state, view, now_ms)
     if view.note_room(event.free, event.last_order):
         state.placing_due = True
     if view.accepting != event.accepting:
@@ -128,7 +131,13 @@
     view = heard(state, sender, now_ms)
     if view is not None:
         view.note_stamp(event.sent_at_ms, now_ms)
-        state.effects.append(Send(sender, EntryBeat(event.sent_at_ms)))
+        echo(state, view, now_ms)
+
+
+def echo(state: BurstEntryState, view: AgentView, now_ms: int) -> None:
+    """Echo the newest stamp."""
+    view.echoed_ms = now_ms
+    state.effects.append(Send(view.name, EntryBeat(view.stamp_ms)))
 
 
 @handle_entry_event.register(HeldRuns)
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -146,6 +146,8 @@
         self.stamp_ms = 0
         self.stamp_heard_ms = 0
         self.heard_ms = 0
+        # When a stamp was last echoed, by itself or with an order.
+        self.echoed_ms = 0
         self.runs: dict[RunRef, PlacedRun] = {}
         # Runs of an earlier incarnation, which may still be at the worker.
         self.orphans: dict[RunRef, PlacedRun] = {}
--- a/src/sardineferry/decision/burst/timing.py
+++ b/src/sardineferry/decision/burst/timing.py
@@ -15,8 +15,10 @@
 __all__ = [
     "BUSY_BEAT_MS",
     "CLOCK_SLOWNESS",
+    "ECHO_GAP_MS",
     "GONE_MS",
     "IDLE_BEAT_MS",
+    "IDLE_ECHO_GAP_MS",
     "IDLE_SILENCE_MS",
     "KILL_MS",
     "LEASE_MS",
@@ -48,6 +50,10 @@
 # Without work on a link a loss may be noticed later.
 IDLE_BEAT_MS = 500
 IDLE_SILENCE_MS = 3 * IDLE_BEAT_MS
+# An entry echoes the stamps of pushes of room as well, less often than beats
+# come, so that each beat's worth of pushes has its echo.
+ECHO_GAP_MS = BUSY_BEAT_MS * 3 // 5
+IDLE_ECHO_GAP_MS = IDLE_BEAT_MS * 4 // 5
 # An agent pushes changes of room to an entry for this long after an order of
 # its or a request for it; runs last about as long.
 WATCH_MS = 300
--- a/tests/decision/burst/test_agent.py
+++ b/tests/decision/burst/test_agent.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import Counter
 
 import pytest
@@ -445,3 +446,59 @@
     assert agent.state.worker.report.worker_id == "w"
     agent.handle(agent.report(1, worker="w", born_ms=2))
     assert sent(agent.effects, RunEnded)[-1].reason == "worker restarted"
+
+
+@pytest.mark.parametrize(
+    ("runs", "gap_ms"), [(False, timing.IDLE_BEAT_MS), (True, timing.BUSY_BEAT_MS)]
+)
+def test_stamp_goes_out_in_time_by_a_beat_or_by_a_push(
+    agent: AgentDriver, runs: bool, gap_ms: int
+) -> None:
+    if runs:
+        running(agent)
+    stamps = [agent.now_ms]
+    agent.effects.clear()
+    for step in range(400):
+        agent.handle(EntryBeat(agent.now_ms))
+        if runs:
+            agent.hold(present=(PresentRun(ONE, 50),))
+        # Room changes in the first half only; the entry watches it.
+        if step < 200:
+            agent.state.total = Resources(4_000 + step, 1_000, 0)
+            agent.state.room_dirty = True
+            agent.handle(WatchRoom())
+        agent.tick(5)
+    beats = sent(agent.effects, AgentBeat)
+    stamps += [item.sent_at_ms for item in sent(agent.effects, WorkerRoom)]
+    stamps += [item.sent_at_ms for item in beats]
+    gaps = [after - before for before, after in itertools.pairwise(sorted(stamps))]
+    assert max(gaps) <= gap_ms + 5
+    # None while pushes carry the stamps.
+    assert len(beats) <= 1_000 // gap_ms + 1
+
+
+def test_loss_of_an_entry_is_noticed_within_a_tick(agent: AgentDriver) -> None:
+    running(agent)
+    lost_ms = agent.state.owners["e"].alive_until_ms
+    while not sent(agent.effects, StopRun):
+        agent.tick(agent.core.tick_interval_ms())
+        if agent.now_ms < lost_ms:
+            agent.hold(present=(PresentRun(ONE, 50),))
+    assert lost_ms < agent.now_ms <= lost_ms + timing.TICK_MS
+
+
+def test_free_room_is_the_total_without_all_runs(agent: AgentDriver) -> None:
+    two = ref(1)
+    agent.order(ONE, two)
+    agent.answer(ONE)
+    agent.answer(two)
+    assert agent.state.free() == TOTAL.minus(NEED.times(2))
+    end = RunEnd(1, ONE, "done")
+    agent.now_ms += 1
+    agent.hold(ends=(end,), present=(PresentRun(two, 10),))
+    assert agent.state.free() == TOTAL.minus(NEED)
+    # Told twice, it frees its room once.
+    agent.hold(ends=(end,), present=(PresentRun(two, 10),))
+    assert agent.state.free() == TOTAL.minus(NEED)
+    agent.handle(agent.report(2, worker="x", born_ms=5))
+    assert agent.state.free() == TOTAL
