Begin nothing before all that a pass brought is known; keep what drained drained

- An entry that wakes from a pause placed repeats of a job, by the first message read, though its caller had left meanwhile and submitted elsewhere: the order went out, and its stop behind it.
Places are now looked for once a pass, after all events; an agent calls its worker and tells its room once a pass, too.
- A process that wakes dropped all links as silent, though what the others had sent was waiting to be read.
Silence now counts from its own wake.
- An agent that restarts beside a worker that drains used it again until the worker's next report.
Entries now keep that a life of a worker drains and tell the agent.
- An answer of the worker that can't be read for an unexpected reason, or a defect while it is read, left the agent waiting for ever (its runs lapsed, one after the other); the same held for the watches of the store.
Both count as no answer and go on.

The test of a silent link jumped over the silence in one tick, which is a pause now; it takes steps, and asks that the link is kept until the bound.

--- a/src/sardineferry/core_loop.py
+++ b/src/sardineferry/core_loop.py
@@ -42,6 +42,9 @@
     def tick(self, now_ms: int) -> Sequence[EffectT_co]:
         """Apply what is due by the clock."""
 
+    def conclude(self, now_ms: int) -> Sequence[EffectT_co]:
+        """Act on all that a pass has brought."""
+
     def tick_interval_ms(self) -> int:
         """Return how long the next tick may wait."""
 
@@ -90,7 +93,8 @@
         if not self.mailbox.events and now < self.next_tick_ms:
             return
         # After a pause the clock is applied first, so that lapsed leases are
-        # seen before any message that waited meanwhile.
+        # seen before any message that waited meanwhile; nothing is begun before
+        # all messages are known, such as that a caller has left.
         if now >= self.next_tick_ms:
             self.next_tick_ms = now + self.core.tick_interval_ms()
             self.guard("tick", lambda: self.core.tick(now))
@@ -99,6 +103,7 @@
             if taken is None:
                 break
             self.apply(*taken)
+        self.guard("conclusion", lambda: self.core.conclude(now_ms()))
         self.flush()
         # Events may have given the clock something to do.
         due_ms = now_ms() + self.core.tick_interval_ms()
--- a/src/sardineferry/decision/burst/agent.py
+++ b/src/sardineferry/decision/burst/agent.py
@@ -38,19 +38,28 @@
         self.state = state
         # The clock as last heard of.
         self.now_ms = 0
+        self.ticked_ms: int | None = None
 
     def handle(self, event: object, sender: str, now_ms: int) -> list[BurstEffect]:
         """Apply an event from a link (``sender``) or from the process."""
         self.now_ms = now_ms
         handle_agent_event(event, self.state, sender, now_ms)
+        return self.take_effects()
+
+    def conclude(self, now_ms: int) -> list[BurstEffect]:
+        """Call the worker and tell its room, once for all events of a pass."""
         agent_worker.request_hold(self.state, now_ms)
         agent_links.push_room(self.state, now_ms)
         return self.take_effects()
 
     def tick(self, now_ms: int) -> list[BurstEffect]:
         """Apply what is due by the clock."""
-        self.now_ms = now_ms
         state = self.state
+        last_ms = self.ticked_ms
+        if last_ms is not None and now_ms - last_ms > timing.PAUSE_MS:
+            state.resumed_ms = now_ms
+        self.now_ms = now_ms
+        self.ticked_ms = now_ms
         agent_worker.check_worker(state, now_ms)
         agent_links.check_owners(state, now_ms)
         if now_ms >= state.next_review_ms:
@@ -58,8 +67,6 @@
         agent_links.send_beats(state, now_ms)
         if state.leaving_ms is not None:
             self.leave(state.leaving_ms, now_ms)
-        agent_worker.request_hold(state, now_ms)
-        agent_links.push_room(state, now_ms)
         return self.take_effects()
 
     def leave(self, since_ms: int, now_ms: int) -> None:
--- a/src/sardineferry/decision/burst/agent_links.py
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -6,6 +6,7 @@
 
 from sardineferry.decision.burst import agent_membership
 from sardineferry.decision.burst import agent_runs
+from sardineferry.decision.burst import agent_worker
 from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.agent_rules import handle_agent_event
 from sardineferry.decision.burst.agent_state import Owner
@@ -97,10 +98,8 @@
     owner.heard_ms = now_ms
     owner.room_sent = None
     state.link_owners[sender] = owner.name
-    if state.total is None and event.profile is not None:
-        state.total = event.profile.total
-        state.labels = event.profile.labels
-        state.room_dirty = True
+    if event.profile is not None:
+        agent_worker.take_profile(state, event.profile)
     agent_membership.note_welcome(state, event, sender, now_ms)
     greet(state, owner, now_ms)
     log_link(state, "link made", owner, now_ms)
@@ -200,7 +199,14 @@
 def send_profile(state: BurstAgentState, owner: Owner) -> None:
     """Tell an entry what the worker is."""
     if state.total is not None:
-        profile = WorkerProfile(state.service, state.total, state.labels)
+        worker = state.worker
+        profile = WorkerProfile(
+            state.service,
+            state.total,
+            state.labels,
+            worker.report.born_ms if worker is not None else 0,
+            worker is not None and worker.report.draining,
+        )
         state.effects.append(Send(owner.link, profile))
 
 
@@ -284,7 +290,8 @@
     for owner in list(state.owners.values()):
         if now_ms > owner.alive_until_ms:
             stop_runs_of_lost(state, owner, now_ms)
-        if owner.linked and now_ms - owner.heard_ms > timing.IDLE_SILENCE_MS:
+        silent_ms = now_ms - max(owner.heard_ms, state.resumed_ms)
+        if owner.linked and silent_ms > timing.IDLE_SILENCE_MS:
             owner.heard_ms = now_ms
             log_link(state, "link silent", owner, now_ms)
             state.effects.append(DropLink(owner.link))
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -152,6 +152,8 @@
         self.dialled: dict[str, DialledEntry] = {}
         self.next_review_ms = 0
         self.worker: WorkerLife | None = None
+        # Lives of the worker that entries know to be draining.
+        self.drained_births: set[int] = set()
         # Room and labels stay with the machine across lives of its worker.
         self.total: Resources | None = None
         self.labels: tuple[str, ...] = ()
@@ -171,6 +173,8 @@
         self.room_dirty = False
         self.room_due_ms: int | None = None
         self.leaving_ms: int | None = None
+        # When the process last went on after a pause.
+        self.resumed_ms = 0
         self.last_end_ms = 0
 
     def add_run(self, run: Run) -> None:
--- a/src/sardineferry/decision/burst/agent_worker.py
+++ b/src/sardineferry/decision/burst/agent_worker.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from sardineferry.decision.burst.agent_state import BurstAgentState
     from sardineferry.messages.burst import RunRef
+    from sardineferry.messages.burst import WorkerProfile
 
 __all__ = ["check_worker", "request_hold"]
 
@@ -42,11 +43,12 @@
     if worker is not None and is_same_life(worker.report, event):
         if event.sequence <= worker.report.sequence:
             return
-        if event.draining != worker.report.draining:
-            state.room_dirty = True
-            log_worker(state, "worker draining", event)
+        drain_changed = event.draining != worker.report.draining
         worker.report = event
         worker.note_clock(event.clock_ms, now_ms)
+        if drain_changed:
+            log_worker(state, "worker draining", event)
+            send_profiles(state)
     else:
         if worker is not None and event.born_ms < worker.report.born_ms:
             # A delayed report of an earlier life at the same address.
@@ -58,6 +60,32 @@
         send_profiles(state)
 
 
+def take_profile(state: BurstAgentState, profile: WorkerProfile) -> None:
+    """Use what an entry knows of the worker until the worker reports.
+
+    Answers the restart of an agent: a worker that is being emptied must not be
+    used again because the agent that knew it is gone.
+    """
+    if state.total is None:
+        state.total = profile.total
+        state.labels = profile.labels
+        state.room_dirty = True
+    if profile.draining:
+        state.drained_births.add(profile.born_ms)
+        apply_drained(state)
+
+
+def apply_drained(state: BurstAgentState) -> None:
+    """Let a worker that has not reported yet drain if an entry says so."""
+    worker = state.worker
+    if worker is None or worker.report.sequence != UNREPORTED:
+        return
+    if worker.report.born_ms in state.drained_births and not worker.report.draining:
+        worker.report = worker.report._replace(draining=True)
+        state.room_dirty = True
+        log_worker(state, "worker draining, by an entry's word", worker.report)
+
+
 def send_profiles(state: BurstAgentState) -> None:
     """Tell all entries what the worker is."""
     state.room_dirty = True
@@ -112,7 +140,7 @@
     if worker is None or worker.report.worker_id != event.worker_id:
         return
     worker.report = worker.report._replace(draining=True)
-    state.room_dirty = True
+    send_profiles(state)
     log_worker(state, "worker left", worker.report)
 
 
@@ -204,6 +232,7 @@
     state.worker = WorkerLife(seen, now_ms)
     state.room_dirty = True
     log_worker(state, "worker answered before its report", seen)
+    apply_drained(state)
 
 
 def is_other_life(state: BurstAgentState, event: HoldAnswered) -> bool:
--- a/src/sardineferry/decision/burst/entry.py
+++ b/src/sardineferry/decision/burst/entry.py
@@ -8,6 +8,7 @@
 from sardineferry.decision.burst import entry_callers
 from sardineferry.decision.burst import entry_config
 from sardineferry.decision.burst import entry_placing
+from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.entry_rules import handle_entry_event
 from sardineferry.decision.burst.entry_state import BurstEntryState
 from sardineferry.decision.link_effects import Exit
@@ -39,22 +40,30 @@
     def __init__(self, state: BurstEntryState) -> None:
         """Drive this state."""
         self.state = state
+        self.ticked_ms: int | None = None
 
     def handle(self, event: object, sender: str, now_ms: int) -> list[BurstEffect]:
         """Apply an event from a link (``sender``) or from the process."""
         handle_entry_event(event, self.state, sender, now_ms)
+        return self.take_effects()
+
+    def conclude(self, now_ms: int) -> list[BurstEffect]:
+        """Place what waits, once all events of a pass are known."""
         entry_placing.place_waiting(self.state, now_ms)
         return self.take_effects()
 
     def tick(self, now_ms: int) -> list[BurstEffect]:
         """Apply what is due by the clock."""
         state = self.state
+        last_ms = self.ticked_ms
+        if last_ms is not None and now_ms - last_ms > timing.PAUSE_MS:
+            state.resumed_ms = now_ms
+        self.ticked_ms = now_ms
         if state.started_ms is None:
             state.started_ms = now_ms
         entry_agents.check_agents(state, now_ms)
         entry_callers.check_queue(state, now_ms)
         state.placing_due = True
-        entry_placing.place_waiting(state, now_ms)
         if state.leaving_ms is not None:
             self.leave(state.leaving_ms, now_ms)
         return self.take_effects()
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -287,7 +287,7 @@
             for ref, placed in runs.items():
                 ended = RunEnded(ref, ENDED_LOST, 0, "agent lost")
                 settle(state, view, placed, ended, now_ms)
-        silent_ms = now_ms - view.heard_ms
+        silent_ms = now_ms - max(view.heard_ms, state.resumed_ms)
         if view.linked and silent_ms > timing.IDLE_SILENCE_MS:
             view.linked = False
             log_agent(state, "agent silent", view, now_ms)
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -229,6 +229,8 @@
         self.speeds = SpeedBook()
         self.next_order = 1
         self.started_ms: int | None = None
+        # When the process last went on after a pause.
+        self.resumed_ms = 0
         self.leaving_ms: int | None = None
         # True once the process is about to exit: nothing is begun any more.
         self.left = False
--- a/src/sardineferry/decision/burst/timing.py
+++ b/src/sardineferry/decision/burst/timing.py
@@ -23,6 +23,7 @@
     "KILL_MS",
     "LEASE_MS",
     "ORDER_TTL_MS",
+    "PAUSE_MS",
     "RENEW_MS",
     "RESUBMIT_MS",
     "SILENCE_MS",
@@ -54,6 +55,9 @@
 # come, so that each beat's worth of pushes has its echo.
 ECHO_GAP_MS = BUSY_BEAT_MS * 3 // 5
 IDLE_ECHO_GAP_MS = IDLE_BEAT_MS * 4 // 5
+# Between two ticks only a pause of our own process takes this long. Others were
+# not silent meanwhile: what they sent has yet to be read.
+PAUSE_MS = IDLE_BEAT_MS
 # An agent pushes changes of room to an entry for this long after an order of
 # its or a request for it; runs last about as long.
 WATCH_MS = 300
--- a/src/sardineferry/decision/entry/core.py
+++ b/src/sardineferry/decision/entry/core.py
@@ -47,6 +47,10 @@
             self.state.effects.append(Exit("drained"))
         return self.take_effects()
 
+    def conclude(self, _now_ms: int) -> list[Effect]:
+        """Do nothing: each event is acted on by itself."""
+        return []
+
     def tick_interval_ms(self) -> int:
         """Return how long the next tick may wait."""
         state = self.state
--- a/src/sardineferry/messages/burst.py
+++ b/src/sardineferry/messages/burst.py
@@ -130,11 +130,17 @@
 
 
 class WorkerProfile(NamedTuple):
-    """Agent to entry: what its worker is; sent when that changes."""
+    """Agent to entry: what its worker is; sent when that changes.
+
+    ``born_ms`` (Unix time) names the worker's life, 0 if it is not known;
+    ``draining`` holds for that life.
+    """
 
     service: str
     total: Resources
     labels: tuple[str, ...]
+    born_ms: int
+    draining: bool
 
 
 class WorkerRoom(NamedTuple):
--- a/src/sardineferry/platform/retry.py
+++ b/src/sardineferry/platform/retry.py
@@ -7,7 +7,9 @@
 
 from returns.result import Failure
 
+from sardineferry.futures import deliver
 from sardineferry.logs import part_logger
+from sardineferry.platform.store import StoreError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,7 +18,6 @@
     from returns.result import Result
 
     from sardineferry.loop import IoLoop
-    from sardineferry.platform.store import StoreError
 
 __all__ = ["RETRY_S", "UntilAnswered"]
 
@@ -44,7 +45,11 @@
 
     def start(self) -> None:
         """Make the call."""
-        self.call().add_done_callback(lambda done: self.take(done.result()))
+        deliver(self.call(), self.take, self.fail)
+
+    def fail(self, error: Exception) -> None:
+        """Make the call again after an unexpected error."""
+        self.take(Failure(StoreError(f"unexpected error: {error!r}")))
 
     def take(self, answer: Result[Any, StoreError]) -> None:
         """Make the call again after a failure."""
--- a/src/sardineferry/platform/store.py
+++ b/src/sardineferry/platform/store.py
@@ -20,6 +20,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from sardineferry.futures import deliver
 from sardineferry.futures import then
 from sardineferry.web import HttpClient
 
@@ -153,7 +154,12 @@
         """Ask for the keys after one."""
         query = {**self.query, "After": after} if after else self.query
         call = self.client.call("GET", f"/v1/log-newest?{urlencode(query)}", None)
-        call.add_done_callback(lambda done: self.take_page(done.result()))
+        deliver(call, self.take_page, self.fail)
+
+    def fail(self, error: Exception) -> None:
+        """End with an unexpected error."""
+        if not self.future.done():
+            self.future.set_result(Failure(StoreError(f"unexpected: {error!r}")))
 
     def take_page(self, answer: Result[bytes, StoreError]) -> None:
         """Collect a page; end with the last one or with an error."""
--- a/src/sardineferry/platform/tail.py
+++ b/src/sardineferry/platform/tail.py
@@ -9,6 +9,7 @@
 from returns.result import Result
 
 from sardineferry.decision.events import AppendFailed
+from sardineferry.futures import deliver
 from sardineferry.logs import part_logger
 from sardineferry.platform.log import LogClient
 
@@ -75,7 +76,7 @@
             return
         effect = self.appends.popleft()
         call = self.client.append(self.stream, effect.record_id, effect.body)
-        call.add_done_callback(lambda done: self.take_append(effect, done.result()))
+        deliver(call, lambda answer: self.take_append(effect, answer), self.fail)
 
     def take_append(self, effect: Append, answer: Result[None, StoreError]) -> None:
         """Read the stream: only that tells what a failed append did."""
@@ -88,7 +89,7 @@
     def read(self) -> None:
         """Read on from what is known."""
         call = self.client.read_page(self.stream, self.position)
-        call.add_done_callback(lambda done: self.take_page(done.result()))
+        deliver(call, self.take_page, self.fail)
 
     def take_page(self, answer: Result[LogPage, StoreError]) -> None:
         """Hand records to the core; read on while there are more."""
@@ -113,6 +114,11 @@
         else:
             self.finish()
 
+    def fail(self, error: Exception) -> None:
+        """Go on after an unexpected error."""
+        self.note_failure(f"unexpected error: {error!r}")
+        self.finish()
+
     def note_failure(self, reason: str) -> None:
         """Log the first failure of a series."""
         if self.healthy:
--- a/src/sardineferry/platform/watch.py
+++ b/src/sardineferry/platform/watch.py
@@ -10,6 +10,7 @@
 
 from sardineferry.decision.burst.membership import EntriesRead
 from sardineferry.decision.burst.requests import ConfigurationRead
+from sardineferry.futures import deliver
 from sardineferry.logs import part_logger
 from sardineferry.messages.burst import EntryPlace
 from sardineferry.platform.configuration import CONFIG_KEY
@@ -78,8 +79,11 @@
 
     def start(self) -> None:
         """Read the newest values."""
-        reading = self.client.newest(self.topic)
-        reading.add_done_callback(lambda done: self.take_newest(done.result()))
+        deliver(self.client.newest(self.topic), self.take_newest, self.fail)
+
+    def fail(self, error: Exception) -> None:
+        """Go on after an unexpected error."""
+        self.note_failure(f"unexpected error: {error!r}")
 
     def take_newest(self, answer: Result[KeyedRecords, StoreError]) -> None:
         """Hand the newest values over, and wait for others."""
@@ -90,12 +94,9 @@
             logger.info("Reading %s works again.", self.topic)
         self.healthy = True
         found = answer.unwrap()
-        try:
-            self.hand_over(found.values)
-        except Exception:
-            logger.exception("Values of %s can't be used.", self.topic)
+        self.hand_over(found.values)
         reading = self.client.read(self.topic, found.end, self.wait_ms)
-        reading.add_done_callback(lambda done: self.take_change(done.result()))
+        deliver(reading, self.take_change, self.fail)
 
     def take_change(self, answer: Result[StoreRecords, StoreError]) -> None:
         """Look again, after a change or after a wait without one."""
--- a/src/sardineferry/platform/worker.py
+++ b/src/sardineferry/platform/worker.py
@@ -23,6 +23,7 @@
 from sardineferry.messages.burst import ENDED_FAILED
 from sardineferry.messages.burst import ENDED_LOST
 from sardineferry.messages.burst import RunRef
+from sardineferry.web import HttpAnswer
 from sardineferry.web import HttpClient
 
 if TYPE_CHECKING:
@@ -30,7 +31,6 @@
 
     from sardineferry.loop import IoLoop
     from sardineferry.mailbox import Mailbox
-    from sardineferry.web import HttpAnswer
 
 __all__ = ["WorkerClient"]
 
@@ -45,6 +45,7 @@
 MS_PER_S = 1_000
 
 ENDS = {"done": ENDED_DONE, "failed": ENDED_FAILED}
+UNREADABLE = HttpAnswer(0, b"", "unreadable")
 REASONS = {
     "fence": StartAnswer.FENCED,
     "old": StartAnswer.SUPERSEDED,
@@ -186,7 +187,26 @@
         future = client.call(
             "POST", path, msgspec.json.encode(body), headers, timeout_s
         )
-        future.add_done_callback(lambda done: self.mailbox.put(answered(done.result())))
+        future.add_done_callback(
+            lambda done: self.hand_over(path, done.result(), answered)
+        )
+
+    def hand_over(
+        self,
+        path: str,
+        answer: HttpAnswer,
+        answered: Callable[[HttpAnswer], object],
+    ) -> None:
+        """Hand an answer to the core; one that can't be read counts as none.
+
+        Without it the core would wait for this answer for ever.
+        """
+        try:
+            event = answered(answer)
+        except Exception:
+            logger.exception("The answer to %s can't be read.", path)
+            event = answered(UNREADABLE)
+        self.mailbox.put(event)
 
 
 def start_answer_of(status: int, reason: str) -> StartAnswer:
--- a/tests/decision/burst/drive.py
+++ b/tests/decision/burst/drive.py
@@ -120,7 +120,7 @@
 
     def link(self, name: str, total: Resources = TOTAL, incarnation: str = "1") -> None:
         self.handle(WorkerAnnounce(name, incarnation, "dc"), name)
-        self.handle(WorkerProfile("desk", total, ("a",)), name)
+        self.handle(WorkerProfile("desk", total, ("a",), 1, False), name)
         self.room(name, total)
 
     def room(self, name: str, free: Resources, last_order: int = 0) -> None:
@@ -128,12 +128,14 @@
 
     def handle(self, event: object, sender: str = "") -> list[object]:
         effects: list[object] = list(self.core.handle(event, sender, self.now_ms))
+        effects.extend(self.core.conclude(self.now_ms))
         self.effects.extend(effects)
         return effects
 
     def tick(self, elapsed_ms: int = 0) -> list[object]:
         self.now_ms += elapsed_ms
         effects: list[object] = list(self.core.tick(self.now_ms))
+        effects.extend(self.core.conclude(self.now_ms))
         self.effects.extend(effects)
         return effects
 
@@ -190,12 +192,14 @@
 
     def handle(self, event: object, sender: str = LINK) -> list[object]:
         effects: list[object] = list(self.core.handle(event, sender, self.now_ms))
+        effects.extend(self.core.conclude(self.now_ms))
         self.effects.extend(effects)
         return effects
 
     def tick(self, elapsed_ms: int = 0) -> list[object]:
         self.now_ms += elapsed_ms
         effects: list[object] = list(self.core.tick(self.now_ms))
+        effects.extend(self.core.conclude(self.now_ms))
         self.effects.extend(effects)
         return effects
 
--- a/tests/decision/burst/test_agent.py
+++ b/tests/decision/burst/test_agent.py
@@ -279,7 +279,11 @@
 
 
 def test_silent_link_is_dropped(agent: AgentDriver) -> None:
-    agent.tick(timing.IDLE_SILENCE_MS + 1)
+    # Ticks come while the agent runs: one jump would be a pause of its own.
+    for _ in range(timing.IDLE_SILENCE_MS // 100):
+        agent.tick(100)
+        assert DropLink(LINK) not in agent.effects
+    agent.tick(1)
     assert DropLink(LINK) in agent.effects
 
 
@@ -431,7 +435,7 @@
     agent.core = BurstAgentCore(BurstAgentState("a", "j", "dc", "desk", 100, 6_000))
     # An entry that knew the worker tells its room.
     agent.handle(LinkUp(LINK))
-    profile = WorkerProfile("desk", TOTAL, ("a",))
+    profile = WorkerProfile("desk", TOTAL, ("a",), 1, False)
     agent.handle(EntryWelcome("e", "1", "dc", profile, ()))
     assert not agent.state.accepting()
     agent.hold(born_ms=1, clock_ms=5_000)
@@ -502,3 +506,62 @@
     assert agent.state.free() == TOTAL.minus(NEED)
     agent.handle(agent.report(2, worker="x", born_ms=5))
     assert agent.state.free() == TOTAL
+
+
+@pytest.mark.parametrize(
+    ("born_ms", "accepting"),
+    [(1, False), (2, True)],
+    ids=["the life that drained", "another life"],
+)
+@pytest.mark.parametrize("answered_first", [True, False])
+def test_restarted_agent_does_not_use_a_worker_that_drains(
+    agent: AgentDriver, born_ms: int, accepting: bool, answered_first: bool
+) -> None:
+    agent.handle(agent.report(2, draining=True))
+    known = sent(agent.effects, WorkerProfile)[-1]
+    assert (known.born_ms, known.draining) == (1, True)
+    agent.core = BurstAgentCore(BurstAgentState("a", "j", "dc", "desk", 100, 6_000))
+    if answered_first:
+        agent.hold(born_ms=born_ms, clock_ms=5_000)
+    agent.handle(LinkUp(LINK))
+    agent.handle(EntryWelcome("e", "1", "dc", known, ()))
+    if not answered_first:
+        agent.hold(born_ms=born_ms, clock_ms=5_000)
+    assert agent.state.accepting() is accepting
+    agent.effects.clear()
+    agent.order(ONE)
+    assert bool(sent(agent.effects, StartRun)) is accepting
+    # The worker's own report is the last word.
+    agent.handle(agent.report(1, born_ms=born_ms))
+    assert agent.state.accepting()
+
+
+def test_paused_agent_gives_up_runs_but_keeps_its_links(
+    agent: AgentDriver,
+) -> None:
+    running(agent)
+    agent.tick()
+    agent.effects.clear()
+    agent.tick(10 * timing.IDLE_SILENCE_MS)
+    # Its lease has lapsed, and the entry's caller has gone elsewhere.
+    assert [ended.run for ended in sent(agent.effects, RunEnded)] == [ONE]
+    assert agent.state.runs == {}
+    assert sent(agent.effects, DropLink) == []
+    # An entry that stays silent from then on is dropped.
+    for _ in range(timing.IDLE_SILENCE_MS // 50 + 2):
+        agent.tick(50)
+    assert len(sent(agent.effects, DropLink)) == 1
+
+
+@pytest.mark.parametrize("age_ms", [timing.ORDER_TTL_MS + 1, 5_000])
+def test_order_that_waited_while_the_agent_was_paused_starts_nothing(
+    agent: AgentDriver, age_ms: int
+) -> None:
+    order = StartRuns(1, agent.now_ms + 400, (ONE,), "spec", NEED, 100, True)
+    agent.now_ms += age_ms
+    agent.effects.clear()
+    agent.tick()
+    agent.handle(order)
+    assert sent(agent.effects, StartRun) == []
+    (ended,) = sent(agent.effects, RunEnded)
+    assert (ended.how, ended.reason) == ("refused", "order expired")
--- a/tests/decision/burst/test_entry.py
+++ b/tests/decision/burst/test_entry.py
@@ -7,6 +7,7 @@
 from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.configuration import EdgeLimits
 from sardineferry.decision.burst.effects import ApplyLimits
+from sardineferry.decision.burst.effects import DropLink
 from sardineferry.decision.burst.requests import BurstReply
 from sardineferry.decision.burst.requests import CallerLeft
 from sardineferry.decision.burst.requests import CancelJob
@@ -23,6 +24,7 @@
 from sardineferry.messages.burst import HeldRuns
 from sardineferry.messages.burst import Resources
 from sardineferry.messages.burst import RunEnded
+from sardineferry.messages.burst import StartRuns
 from sardineferry.messages.burst import StopRuns
 from sardineferry.messages.burst import WorkerAnnounce
 from sardineferry.messages.burst import WorkerRoom
@@ -396,3 +398,37 @@
     assert {to for to, _ in entry.orders()[1:]} == {other}
     entry.handle(submit(2, job(2, 1)))
     assert entry.orders()[-1][0] == other
+
+
+def test_paused_entry_begins_nothing_for_a_caller_that_has_left(
+    entry: EntryDriver,
+) -> None:
+    entry.handle(submit(1, job(tasks=2)))
+    ordered = len(entry.orders())
+    # Paused: the runs have lapsed, and the caller has submitted elsewhere.
+    entry.now_ms += 1_400
+    effects: list[object] = list(entry.core.tick(entry.now_ms))
+    # What has waited meanwhile, in the order of its sockets.
+    room = WorkerRoom(entry.now_ms, TOTAL, True, 1)
+    effects += entry.core.handle(room, "a", entry.now_ms)
+    effects += entry.core.handle(CallerLeft(1), "", entry.now_ms)
+    effects += entry.core.conclude(entry.now_ms)
+    assert ordered == 1
+    assert sent(effects, StartRuns) == []
+    assert entry.state.jobs == {}
+
+
+def test_paused_entry_keeps_its_links_but_orders_nothing_unheard(
+    entry: EntryDriver,
+) -> None:
+    entry.handle(submit(1, job()))
+    entry.effects.clear()
+    entry.tick(10 * timing.IDLE_SILENCE_MS)
+    assert sent(entry.effects, DropLink) == []
+    entry.handle(submit(2, job(name=2)))
+    assert sent(entry.effects, StartRuns) == []
+    entry.room("a", TOTAL)
+    assert sent(entry.effects, StartRuns)
+    for _ in range(timing.IDLE_SILENCE_MS // 50 + 2):
+        entry.tick(50)
+    assert {effect.name for effect in sent(entry.effects, DropLink)} == {"a", "b"}
--- /dev/null
+++ b/tests/platform/test_bad_answers.py
@@ -0,0 +1,188 @@
+"""Bad answers of the worker and the store: each costs one call, never the loop."""
+
+from __future__ import annotations
+
+import base64
+import random
+import struct
+from typing import TYPE_CHECKING
+
+import pytest
+
+from sardineferry.decision.burst.requests import ConfigurationRead
+from sardineferry.decision.burst.worker import HoldAnswered
+from sardineferry.decision.burst.worker import HoldWorker
+from sardineferry.decision.burst.worker import StartAnswer
+from sardineferry.decision.burst.worker import StartAnswered
+from sardineferry.decision.burst.worker import StartRun
+from sardineferry.decision.burst.worker import StopAnswered
+from sardineferry.decision.burst.worker import StopRun
+from sardineferry.loop import IoLoop
+from sardineferry.mailbox import Mailbox
+from sardineferry.messages.burst import RunRef
+from sardineferry.platform.configuration import CONFIG_TOPIC
+from sardineferry.platform.store import StoreClient
+from sardineferry.platform.watch import TopicWatch
+from sardineferry.platform.watch import hand_over_configuration
+from sardineferry.platform.worker import WorkerClient
+from sardineferry.web import HttpLimits
+from sardineferry.web import HttpReply
+from sardineferry.web import HttpServer
+from tests.loops import run_until
+
+if TYPE_CHECKING:
+    from sardineferry.web import Exchange
+    from sardineferry.web import HttpRequest
+
+RUN = RunRef("0000000000000001.0.0.0", 1)
+HOLD = HoldWorker(0, 0, 0, 1, "w")
+GOOD_LISTS = b'{"ClockMs":5,"born":7,"Running":[],"Finished":[]}'
+BAD_BODIES = [
+    b"",
+    b"{",
+    b"\xff\xfe\x00",
+    b'{"ClockMs":"\xc3\x28"}',
+    b"[]",
+    b"null",
+    b'{"ClockMs":1e400,"Running":[],"Finished":[]}',
+    b'{"ClockMs":1,"Running":null,"Finished":[]}',
+    b'{"ClockMs":1,"Running":[[]],"Finished":[]}',
+    b'{"ClockMs":1,"Running":[["t"]],"Finished":[]}',
+    b'{"ClockMs":1,"Running":[[1,2,3,4]],"Finished":[]}',
+    b'{"ClockMs":1,"Running":[["t",1,"","x"]],"Finished":[]}',
+    b'{"ClockMs":1,"Running":[["t",1,"",{"a":1}]],"Finished":[]}',
+    b'{"ClockMs":1,"Running":[],"Finished":[["x","t",1,"done",""]]}',
+    b'{"ClockMs":1,"Running":[],"Finished":[[1,"t",null,"done",""]]}',
+    b"[" * 100_000,
+]
+
+
+class BadServer:
+    """Replies with the bodies of a script, then with good ones."""
+
+    def __init__(self, loop: IoLoop, script: list[bytes], good: bytes) -> None:
+        self.script = list(script)
+        self.good = good
+        self.paths: list[str] = []
+        server = HttpServer(loop, "127.0.0.1:0", self.handle, HttpLimits())
+        server.start()
+        self.address = f"127.0.0.1:{server.port}"
+
+    def handle(self, request: HttpRequest, exchange: Exchange) -> None:
+        self.paths.append(request.path)
+        body = self.script.pop(0) if self.script else self.good
+        exchange.answer(HttpReply(200, body))
+
+
+@pytest.fixture
+def loop() -> IoLoop:
+    return IoLoop()
+
+
+def take(loop: IoLoop, mailbox: Mailbox) -> object:
+    run_until(loop, lambda: mailbox.events)
+    taken = mailbox.take()
+    assert taken is not None
+    return taken[0]
+
+
+@pytest.mark.parametrize("body", BAD_BODIES)
+def test_unreadable_lists_count_as_no_answer_and_the_next_hold_is_read(
+    loop: IoLoop, body: bytes
+) -> None:
+    mailbox = Mailbox()
+    server = BadServer(loop, [body], GOOD_LISTS)
+    worker = WorkerClient(loop, server.address, mailbox)
+    worker.perform(HOLD)
+    answer = take(loop, mailbox)
+    assert isinstance(answer, HoldAnswered)
+    assert not answer.answered
+    worker.perform(HOLD)
+    answer = take(loop, mailbox)
+    assert isinstance(answer, HoldAnswered)
+    assert (answer.answered, answer.born_ms) == (True, 7)
+
+
+@pytest.mark.parametrize("body", BAD_BODIES)
+def test_unreadable_answer_to_an_order_is_an_answer_by_its_status(
+    loop: IoLoop, body: bytes
+) -> None:
+    mailbox = Mailbox()
+    server = BadServer(loop, [body, body], b"{}")
+    worker = WorkerClient(loop, server.address, mailbox)
+    worker.perform(StartRun(RUN, "spec", 10, 1, "w"))
+    start = take(loop, mailbox)
+    worker.perform(StopRun(RUN, 1, "w"))
+    stop = take(loop, mailbox)
+    assert isinstance(start, StartAnswered)
+    assert start.answer is StartAnswer.STARTED
+    assert isinstance(stop, StopAnswered)
+    assert stop.answered
+
+
+def test_defect_while_an_answer_is_read_counts_as_no_answer(
+    loop: IoLoop, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def fail(*_: object) -> object:
+        raise ValueError("planted")
+
+    mailbox = Mailbox()
+    server = BadServer(loop, [], GOOD_LISTS)
+    worker = WorkerClient(loop, server.address, mailbox)
+    monkeypatch.setattr("sardineferry.platform.worker.parse_lists", fail)
+    worker.perform(HOLD)
+    answer = take(loop, mailbox)
+    assert isinstance(answer, HoldAnswered)
+    assert not answer.answered
+
+
+def newest(value: bytes, end: int = 1) -> bytes:
+    text = base64.b64encode(value).decode()
+    item = f'{{"Key":"config","Value":"{text}","Offset":0}}'
+    return f'{{"items":[{item}],"HasMore":false,"EndOffset":{end}}}'.encode()
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        *([body] for body in BAD_BODIES[:8]),
+        [b'{"items":[{"Key":"config","Value":"***"}],"EndOffset":1}'],
+        [b'{"items":[{"Key":7}],"EndOffset":1}'],
+        [newest(b"1"), b"short"],
+        [newest(b"1"), struct.pack(">QQ", 9, 0) + b"\0\0\xff\xff"],
+        [newest(b"1"), struct.pack(">QQ", 9, 0) + b"\0\0"],
+    ],
+)
+def test_watch_goes_on_after_answers_that_cannot_be_read(
+    loop: IoLoop, script: list[bytes]
+) -> None:
+    mailbox = Mailbox()
+    server = BadServer(loop, script, newest(b"2"))
+    watch = TopicWatch(
+        loop,
+        CONFIG_TOPIC,
+        StoreClient(loop, server.address),
+        0,
+        random.Random(1),
+        hand_over_configuration(mailbox),
+    )
+    watch.start()
+    while take(loop, mailbox) != ConfigurationRead(b"2"):
+        pass
+
+
+def test_watch_goes_on_after_a_defect_in_what_takes_the_values(
+    loop: IoLoop,
+) -> None:
+    calls: list[int] = []
+
+    def hand_over(_values: dict[str, bytes]) -> None:
+        calls.append(1)
+        if len(calls) < 3:
+            raise ValueError("planted")
+
+    server = BadServer(loop, [], newest(b"1"))
+    client = StoreClient(loop, server.address)
+    source = random.Random(1)
+    TopicWatch(loop, CONFIG_TOPIC, client, 0, source, hand_over).start()
+    run_until(loop, lambda: len(calls) >= 3)
