Let a job that has begun wait for workers that keep its goal, too

Cause: a job of which one task was placed took whatever worker had room for the others; one late task makes a job late.

--- a/src/sardineferry/decision/burst/entry_placing.py
+++ b/src/sardineferry/decision/burst/entry_placing.py
@@ -109,8 +109,6 @@
     One that has not begun does not start where it would be late, unless it is
     late everywhere.
     """
-    if job.started:
-        return fleet
     in_time = [
         view
         for view in fleet.views
