Predict a task's work from its estimate and its route's past

Cause: estimates are off by 40%; a task that is longer than estimated went to a slow worker that its estimate allowed, and was late there.

Goals, forecasts, places and stalls go by it.

--- a/bench/virtual/burst_load.py
+++ b/bench/virtual/burst_load.py
@@ -326,6 +326,11 @@
             lambda: self.finish_hold() if number == self.hold_number else None,
         )
 
+    def percent(self, run: RunRef) -> int:
+        """Return how much of a run's work is done."""
+        work_ms = self.world.true_work(run) / self.speed
+        return min(99, int(100 * (self.world.clock.now - self.runs[run]) / work_ms))
+
     def finish_hold(self) -> None:
         """Answer the present hold."""
         if self.hold is None:
@@ -337,7 +342,9 @@
                 answered=True,
                 clock_ms=self.now_ms(),
                 born_ms=1,
-                present=tuple(PresentRun(run, 50) for run in self.runs),
+                present=tuple(
+                    PresentRun(run, self.percent(run)) for run in self.runs
+                ),
                 ends=tuple(self.ends),
             )
         )
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -234,6 +234,9 @@
     step = placed.job.step
     if view.health.state != "open":
         view.health.note_success()
+    route = placed.job.route.name
+    speed = state.speeds.factor(view.name, view.kind())
+    state.work.note(route, step.estimate_ms, event.run_ms, speed)
     state.speeds.note(view.name, view.kind(), event.run_ms, step.estimate_ms)
 
 
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -106,12 +106,13 @@
         # Entries that are linked to other workers may know one.
         retry_ms = NO_WORKER_RETRY_MS if sharers(state) < len(state.places) else 0
         return ("no worker is large enough or has the label", retry_ms)
-    run_ms = step.estimate_ms * state.speeds.typical()
+    work_ms = state.work.predict_ms(route.name, step.estimate_ms)
+    run_ms = work_ms * state.speeds.typical()
     if state.leaving_ms is not None:
         left_ms = state.leaving_ms + state.grace_ms - now_ms
         if run_ms + LEAVE_MARGIN_MS > left_ms:
             return ("entry is leaving", NO_WORKER_RETRY_MS)
-    goal_ms = goal_of(route, step)
+    goal_ms = goal_of(route, work_ms)
     wait_ms = forecast_ms(state, now_ms)
     if not starting and wait_ms > admission.give_up_after_ms(goal_ms, run_ms):
         return (f"forecast wait {wait_ms:.0f} ms", admission.retry_after_ms(wait_ms))
@@ -171,8 +172,9 @@
 def admit(state: BurstEntryState, event: SubmitJob, route: Route, now_ms: int) -> None:
     """Queue a job by the time at which it has to start."""
     earlier = state.attempts.get(event.job.job_id, 0)
-    job = ActiveJob(event.job, route, event.token, now_ms, earlier)
-    run_ms = job.step.estimate_ms * state.speeds.typical()
+    work_ms = state.work.predict_ms(route.name, event.job.steps[0].estimate_ms)
+    job = ActiveJob(event.job, route, event.token, now_ms, earlier, work_ms)
+    run_ms = work_ms * state.speeds.typical()
     job.give_up_ms = now_ms + int(admission.give_up_after_ms(job.goal_ms, run_ms))
     state.jobs[event.job.job_id] = job
     state.token_jobs[event.token] = event.job.job_id
@@ -184,6 +186,7 @@
         "route": route.name,
         "tasks": job.step.tasks,
         "estimate_ms": job.step.estimate_ms,
+        "work_ms": int(work_ms),
         "goal_ms": int(job.goal_ms),
         "queue": len(state.queue),
         "config_version": state.configuration.version,
--- a/src/sardineferry/decision/burst/entry_placing.py
+++ b/src/sardineferry/decision/burst/entry_placing.py
@@ -100,7 +100,7 @@
 
 def ends_in_time(job: ActiveJob, speed: float, now_ms: int) -> bool:
     """Tell whether a task that starts now is expected to keep the goal."""
-    return now_ms + job.step.estimate_ms * speed <= job.arrived_ms + job.goal_ms
+    return now_ms + job.work_ms * speed <= job.arrived_ms + job.goal_ms
 
 
 def wanted_by(job: ActiveJob, fleet: Fleet, now_ms: int) -> Fleet:
@@ -197,7 +197,7 @@
         tuple(job.ref(task) for task in tasks),
         job.job.spec,
         step.need,
-        step.estimate_ms,
+        int(job.work_ms),
         movable=not any(task.stalled for task in tasks),
     )
     state.effects.append(Send(view.name, message))
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -10,6 +10,7 @@
 from sardineferry.decision.burst.config_relay import ConfigRelay
 from sardineferry.decision.burst.configuration import NO_CONFIGURATION
 from sardineferry.decision.burst.speed import SpeedBook
+from sardineferry.decision.burst.work import WorkBook
 from sardineferry.decision.health import Health
 from sardineferry.messages.burst import Resources
 from sardineferry.messages.burst import RunRef
@@ -71,15 +72,25 @@
     """A job whose caller waits."""
 
     def __init__(
-        self, job: BurstJob, route: Route, token: int, now_ms: int, attempt: int
+        self,
+        job: BurstJob,
+        route: Route,
+        token: int,
+        now_ms: int,
+        attempt: int,
+        work_ms: float,
     ) -> None:
-        """Begin with all tasks waiting; earlier attempts end at ``attempt``."""
+        """Begin with all tasks waiting; earlier attempts end at ``attempt``.
+
+        ``work_ms`` is the expected work of a task, at a worker of typical speed.
+        """
         self.job = job
         self.route = route
         self.tokens = {token}
         self.arrived_ms = now_ms
         self.attempt = attempt
-        self.goal_ms = goal_of(route, self.step)
+        self.work_ms = work_ms
+        self.goal_ms = goal_of(route, work_ms)
         self.give_up_ms = 0
         self.tasks = [ActiveTask(index, attempt) for index in range(self.step.tasks)]
         # True once a worker has begun, or may have begun, any task.
@@ -102,16 +113,16 @@
     def work_waiting(self) -> float:
         """Return the work (thousandths of a core times ms) yet to be placed."""
         step = self.step
-        return len(self.waiting()) * step.need.cpu * step.estimate_ms
+        return len(self.waiting()) * step.need.cpu * self.work_ms
 
     def ref(self, task: ActiveTask) -> RunRef:
         """Return the name of a task's present run."""
         return RunRef(f"{self.job.job_id}.0.0.{task.index}", task.attempt)
 
 
-def goal_of(route: Route, step: BurstStep) -> float:
-    """Return a job's response-time goal by its estimate."""
-    return route.slack_factor * step.estimate_ms + route.goal_ms
+def goal_of(route: Route, work_ms: float) -> float:
+    """Return a job's response-time goal by the work of a task."""
+    return route.slack_factor * work_ms + route.goal_ms
 
 
 class PlacedRun:
@@ -227,6 +238,7 @@
         self.placing_due = False
         self.attempts: OrderedDict[str, int] = OrderedDict()
         self.speeds = SpeedBook()
+        self.work = WorkBook()
         self.next_order = 1
         self.started_ms: int | None = None
         # When the process last went on after a pause.
