Forecast a job's wait by the work that is served before it

Cause: all work that waits counted, also quotes that wait for a fast worker with seconds to spare and are served after a hold: holds were refused with room free.

--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -113,15 +113,16 @@
         if run_ms + LEAVE_MARGIN_MS > left_ms:
             return ("entry is leaving", NO_WORKER_RETRY_MS)
     goal_ms = goal_of(route, work_ms)
-    wait_ms = forecast_ms(state, now_ms)
-    if not starting and wait_ms > admission.give_up_after_ms(goal_ms, run_ms):
+    slack_ms = admission.give_up_after_ms(goal_ms, run_ms)
+    wait_ms = forecast_ms(state, now_ms, now_ms + slack_ms)
+    if not starting and wait_ms > slack_ms:
         return (f"forecast wait {wait_ms:.0f} ms", admission.retry_after_ms(wait_ms))
     return None
 
 
-def forecast_ms(state: BurstEntryState, now_ms: int) -> float:
+def forecast_ms(state: BurstEntryState, now_ms: int, before_ms: float = 1e18) -> float:
     """Return how long a job that arrives now waits for its start."""
-    ahead = sum(job.work_waiting() for job in state.queue)
+    ahead = sum(job.work_waiting() for job in state.queue if job.give_up_ms <= before_ms)
     if ahead <= 0:
         return 0.0
     return admission.forecast_wait_ms(ahead, own_rate(state, now_ms))
