--- a/bench/virtual/burst_load.py
+++ b/bench/virtual/burst_load.py
@@ -342,9 +342,7 @@
                 answered=True,
                 clock_ms=self.now_ms(),
                 born_ms=1,
-                present=tuple(
-                    PresentRun(run, self.percent(run)) for run in self.runs
-                ),
+                present=tuple(PresentRun(run, self.percent(run)) for run in self.runs),
                 ends=tuple(self.ends),
             )
         )
