--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -74,7 +74,7 @@
         # expire or the restarted agent stops them.
         view.orphans.update(view.runs)
         view.runs.clear()
-        view.orphans_expire_ms = view.timestamp_received_ms + timing.RUNS_ENDED_AFTER_MS
+        view.orphans_expire_ms = view.runs_expire_ms()
     view.incarnation = event.incarnation
     view.linked = True
     view.last_heard_ms = now_ms
@@ -309,10 +309,7 @@
     for view in list(state.agents.values()):
         if view.orphans and now_ms > view.orphans_expire_ms:
             retry_orphans(state, view, "leases lapsed", now_ms)
-        if (
-            view.runs
-            and now_ms - view.timestamp_received_ms > timing.RUNS_ENDED_AFTER_MS
-        ):
+        if view.runs and now_ms > view.runs_expire_ms():
             log_agent(
                 state, "agent lost, the leases of its runs have lapsed", view, now_ms
             )
--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -232,6 +232,7 @@
     view.reserve(order, step.need.times(len(tasks)))
     view.health.record_sent()
     view.last_echo_ms = now_ms
+    view.last_order_sent_ms = now_ms
     timestamp_age_ms = now_ms - view.timestamp_received_ms
     expires_ms = view.agent_timestamp_ms + timestamp_age_ms + timing.ORDER_TTL_MS
     message = StartRuns(
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from sardineferry.charts import load_chart
+from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.config_relay import ConfigRelay
 from sardineferry.decision.burst.configuration import NO_CONFIGURATION
 from sardineferry.decision.burst.slowdown import WorkerSlowdowns
@@ -166,6 +167,7 @@
         self.last_heard_ms = 0
         # When the latest timestamp was last echoed, in a heartbeat or by an order.
         self.last_echo_ms = 0
+        self.last_order_sent_ms = 0
         self.runs: dict[RunRef, PlacedRun] = {}
         # Runs of an earlier incarnation, which the worker may still be running.
         self.orphans: dict[RunRef, PlacedRun] = {}
@@ -208,6 +210,15 @@
             self.agent_timestamp_ms = timestamp_ms
             self.timestamp_received_ms = now_ms
 
+    def runs_expire_ms(self) -> int:
+        """Return when all runs ordered here have surely ended if the agent is lost.
+
+        The agent counts this entry as alive until its echo of a timestamp is too
+        old, or until its newest order expires, whichever is later.
+        """
+        newest_ms = max(self.timestamp_received_ms, self.last_order_sent_ms)
+        return newest_ms + timing.RUNS_ENDED_AFTER_MS
+
     def kind(self) -> str:
         """Return the worker's kind: its first label."""
         if self.profile is None or not self.profile.labels:
--- a/src/sardineferry/decision/burst/timing.py
+++ b/src/sardineferry/decision/burst/timing.py
@@ -72,8 +72,8 @@
 # An order also shows that its entry is alive. It expires when the entry would
 # count as lost if nothing followed.
 ORDER_TTL_MS = SILENCE_LIMIT_MS
-# This long after an agent's last timestamp arrived, all runs that it had then have
-# ended.
+# This long after an agent's last timestamp arrived, or after the last order to it was
+# sent if that is later, all runs that were ordered there have ended.
 RUNS_ENDED_AFTER_MS = (
     SILENCE_LIMIT_MS
     + MAX_TICK_DELAY_MS
--- a/tests/decision/burst/test_entry.py
+++ b/tests/decision/burst/test_entry.py
@@ -205,6 +205,30 @@
     assert [name for name, _ in entry.orders()[before:]] == ["b"]
 
 
+@pytest.mark.parametrize("stamp_age_ms", [0, 700, 1_300, 1_450])
+@pytest.mark.parametrize("restarts", [False, True], ids=["silent", "restarts"])
+def test_run_ordered_on_an_old_timestamp_is_retried_only_after_it_expires(
+    stamp_age_ms: int, restarts: bool
+) -> None:
+    """Replays a choked link, on which an agent's timestamps arrive late."""
+    entry = EntryDriver(agents="a")
+    entry.now_ms += stamp_age_ms
+    entry.handle(submit(1, job()))
+    ordered_ms = entry.now_ms
+    if not entry.orders():
+        return
+    if restarts:
+        entry.handle(LinkDown("a"))
+        entry.handle(WorkerAnnounce("a", "2", "dc"), "a")
+    entry.link("b")
+    while entry.now_ms <= ordered_ms + timing.RUNS_ENDED_AFTER_MS - 40:
+        assert len(entry.orders()) == 1
+        entry.tick(20)
+        entry.report_capacity("b", TOTAL)
+    entry.tick(100)
+    assert [name for name, _ in entry.orders()] == ["a", "b"]
+
+
 def test_relinked_agent_keeps_the_runs_that_it_lists(entry: EntryDriver) -> None:
     entry.handle(submit(1, job(tasks=4)))
     held = {name: tuple(view.runs) for name, view in entry.state.agents.items()}
