--- a/src/sardineferry/decision/burst/agent.py
+++ b/src/sardineferry/decision/burst/agent.py
@@ -70,6 +70,7 @@
         if now_ms >= state.review_due_ms:
             agent_membership.review_links(state, now_ms)
         agent_links.send_due_heartbeats(state, now_ms)
+        state.effects.extend(state.config_relay.continue_transfers(now_ms))
         if state.drain_started_ms is not None:
             self.continue_drain(state.drain_started_ms, now_ms)
         return self.take_effects()
--- a/src/sardineferry/decision/burst/agent_links.py
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -22,8 +22,8 @@
 from sardineferry.decision.common_events import LinkUp
 from sardineferry.messages.burst import AgentBeat
 from sardineferry.messages.burst import ConfigOffer
+from sardineferry.messages.burst import ConfigPart
 from sardineferry.messages.burst import ConfigRequest
-from sardineferry.messages.burst import ConfigText
 from sardineferry.messages.burst import EntryBeat
 from sardineferry.messages.burst import EntryLeft
 from sardineferry.messages.burst import EntryWelcome
@@ -88,6 +88,7 @@
 ) -> None:
     """Mark the entry as not linked, but keep its runs: it may reconnect in time."""
     agent_membership.record_link(state, event.name, False, now_ms)
+    state.effects.extend(state.config_relay.drop_link(event.name, now_ms))
     name = state.entry_names_by_link.pop(event.name, None)
     view = state.entry_views.get(name) if name else None
     if view is None or view.link != event.name:
@@ -142,7 +143,7 @@
     state.effects.extend(Send(view.link, message) for message in messages)
     send_profile(state, view)
     send_capacity(state, view, now_ms)
-    state.effects.extend(state.config_relay.offers([view.link]))
+    state.effects.extend(state.config_relay.announce([view.link]))
 
 
 @handle_agent_event.register(EntryBeat)
@@ -183,29 +184,38 @@
 
 @handle_agent_event.register(ConfigOffer)
 def on_config_offer(
-    event: ConfigOffer, state: BurstAgentState, sender: str, _now_ms: int
+    event: ConfigOffer, state: BurstAgentState, sender: str, now_ms: int
 ) -> None:
-    """Request the offered configuration if newer; offer this agent's if older."""
-    state.effects.extend(state.config_relay.answer_offer(sender, event.version))
+    """Pass a newer offer on to the other entries; offer this agent's if older.
+
+    An entry that requests the text from this agent gets it while the agent fetches
+    it, part by part.
+    """
+    relay = state.config_relay
+    is_news = relay.is_news(event.version)
+    state.effects.extend(relay.answer_offer(sender, event, now_ms))
+    if is_news:
+        state.effects.extend(relay.announce(state.entry_names_by_link))
 
 
 @handle_agent_event.register(ConfigRequest)
 def on_config_request(
-    _event: ConfigRequest, state: BurstAgentState, sender: str, _now_ms: int
+    event: ConfigRequest, state: BurstAgentState, sender: str, now_ms: int
 ) -> None:
-    """Send this agent's configuration."""
-    state.effects.extend(state.config_relay.answer_request(sender))
+    """Send a part of this agent's configuration, or fetch it first."""
+    state.effects.extend(state.config_relay.answer_request(sender, event, now_ms))
 
 
-@handle_agent_event.register(ConfigText)
-def on_config_text(
-    event: ConfigText, state: BurstAgentState, sender: str, _now_ms: int
+@handle_agent_event.register(ConfigPart)
+def on_config_part(
+    event: ConfigPart, state: BurstAgentState, sender: str, now_ms: int
 ) -> None:
-    """Adopt the configuration from an entry if it is newer; offer it to the others."""
-    if state.config_relay.adopt(event.version, event.text):
-        state.effects.extend(
-            state.config_relay.offers(state.entry_names_by_link, sender)
-        )
+    """Add a part from an entry; keep the configuration once it is complete."""
+    relay = state.config_relay
+    received = relay.receive_part(sender, event, now_ms)
+    state.effects.extend(received.effects)
+    if received.text is not None and relay.hold(event.version, received.text):
+        state.effects.extend(relay.continue_transfers(now_ms))
 
 
 @handle_agent_event.register(Drain)
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -8,6 +8,7 @@
 
 from sardineferry.charts import load_chart
 from sardineferry.decision.burst import timing
+from sardineferry.decision.burst.config_relay import PART_BYTES
 from sardineferry.decision.burst.config_relay import ConfigRelay
 from sardineferry.decision.burst.slowdown import SlowdownEstimator
 from sardineferry.messages.burst import Resources
@@ -161,7 +162,9 @@
         self.grace_ms = grace_ms
         self.effects: list[BurstEffect] = []
         self.counters: Counter[str] = Counter()
-        self.config_relay = ConfigRelay()
+        # A restarted entry that can't read the store gets a short configuration from
+        # any agent. A long one is kept only by agents that passed it on.
+        self.config_relay = ConfigRelay(0, max_unasked_bytes=PART_BYTES)
         self.entry_views: dict[str, EntryView] = {}
         self.entry_names_by_link: dict[str, str] = {}
         # All known entries by name, their order of preference for this agent, and
--- a/src/sardineferry/decision/burst/configuration.py
+++ b/src/sardineferry/decision/burst/configuration.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-__all__ = ["NO_CONFIGURATION", "Configuration", "EdgeLimits", "Route", "match_route"]
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+__all__ = ["NO_CONFIGURATION", "Configuration", "EdgeLimits", "Route", "RouteTable"]
 
 
 class Route(NamedTuple):
@@ -49,12 +53,25 @@
 NO_CONFIGURATION = Configuration(-1, (), EdgeLimits(), b"")
 
 
-def match_route(configuration: Configuration, host: str, path: str) -> Route | None:
-    """Return the host's route with the longest prefix that matches the path."""
-    found: Route | None = None
-    for route in configuration.routes:
-        if route.host != host or not path.startswith(route.path_prefix):
-            continue
-        if found is None or len(route.path_prefix) > len(found.path_prefix):
-            found = route
-    return found
+class RouteTable:
+    """Finds routes; a look-up costs a few steps, however many routes there are."""
+
+    def __init__(self, routes: Iterable[Route]) -> None:
+        """Index the routes by host and path prefix; of equal ones the first counts."""
+        self.routes: dict[str, dict[str, Route]] = {}
+        # The lengths of each host's prefixes, in descending order.
+        self.prefix_lengths: dict[str, list[int]] = {}
+        for route in routes:
+            self.routes.setdefault(route.host, {}).setdefault(route.path_prefix, route)
+        for host, by_prefix in self.routes.items():
+            lengths = {len(prefix) for prefix in by_prefix}
+            self.prefix_lengths[host] = sorted(lengths, reverse=True)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the host's route with the longest prefix that the path begins with."""
+        by_prefix = self.routes.get(host, {})
+        for length in self.prefix_lengths.get(host, ()):
+            route = by_prefix.get(path[:length])
+            if route is not None:
+                return route
+        return None
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -86,7 +86,7 @@
         state.known_entries,
     )
     state.effects.append(Send(sender, welcome))
-    state.effects.extend(state.config_relay.offers([sender]))
+    state.effects.extend(state.config_relay.announce([sender]))
     log_agent(state, "agent linked", view, now_ms)
 
 
@@ -95,6 +95,7 @@
     event: LinkDown, state: BurstEntryState, _sender: str, now_ms: int
 ) -> None:
     """Mark the agent as not linked, but keep its runs: it may reconnect in time."""
+    state.effects.extend(state.config_relay.drop_link(event.name, now_ms))
     view = state.agents.get(event.name)
     if view is not None:
         view.linked = False
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from sardineferry.decision.burst import admission
-from sardineferry.decision.burst.configuration import match_route
 from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.effects import ObserveLatency
 from sardineferry.decision.burst.entry_dispatch import handle_entry_event
@@ -55,7 +54,7 @@
     if state.configuration.version < 0:
         refuse_job(state, event, "no configuration yet", DEFAULT_RETRY_MS)
         return
-    route = match_route(state.configuration, event.host, event.path)
+    route = state.route_table.match(event.host, event.path)
     if route is None:
         fields: dict[str, object] = {
             "job": event.job.job_id,
@@ -269,7 +268,7 @@
     """Return the job that a path names, or the reply if there is none."""
     if state.configuration.version < 0:
         return ReplyKind.NOT_RUN
-    route = match_route(state.configuration, host, path)
+    route = state.route_table.match(host, path)
     if route is None:
         return ReplyKind.NO_ROUTE
     job = state.jobs.get(path[len(route.path_prefix) :])
@@ -284,7 +283,7 @@
     if state.configuration.version < 0:
         state.effects.append(BurstReply(event.token, ReplyKind.NOT_RUN))
         return
-    route = match_route(state.configuration, event.host, event.path)
+    route = state.route_table.match(event.host, event.path)
     if route is None:
         state.effects.append(BurstReply(event.token, ReplyKind.NO_ROUTE))
         return
--- a/src/sardineferry/decision/burst/entry_config.py
+++ b/src/sardineferry/decision/burst/entry_config.py
@@ -6,6 +6,7 @@
 
 from returns.pipeline import is_successful
 
+from sardineferry.decision.burst.configuration import RouteTable
 from sardineferry.decision.burst.effects import ApplyLimits
 from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.entry_dispatch import handle_entry_event
@@ -14,8 +15,8 @@
 from sardineferry.decision.common_events import AddressesRead
 from sardineferry.decision.common_events import Drain
 from sardineferry.messages.burst import ConfigOffer
+from sardineferry.messages.burst import ConfigPart
 from sardineferry.messages.burst import ConfigRequest
-from sardineferry.messages.burst import ConfigText
 from sardineferry.messages.burst import EntryEndpoint
 
 if TYPE_CHECKING:
@@ -26,21 +27,26 @@
 
 @handle_entry_event.register(ConfigurationRead)
 def on_configuration_read(
-    event: ConfigurationRead, state: BurstEntryState, _sender: str, _now_ms: int
+    event: ConfigurationRead, state: BurstEntryState, _sender: str, now_ms: int
 ) -> None:
     """Adopt the configuration from the platform's store if it is newer."""
-    adopt_configuration(state, event.text, "store")
+    adopt_configuration(state, event.text, "store", now_ms)
 
 
-@handle_entry_event.register(ConfigText)
-def on_config_text(
-    event: ConfigText, state: BurstEntryState, sender: str, _now_ms: int
+@handle_entry_event.register(ConfigPart)
+def on_config_part(
+    event: ConfigPart, state: BurstEntryState, sender: str, now_ms: int
 ) -> None:
-    """Adopt the configuration from an agent if it is newer."""
-    adopt_configuration(state, event.text, sender)
+    """Add a part from an agent; adopt the configuration once it is complete."""
+    received = state.config_relay.receive_part(sender, event, now_ms)
+    state.effects.extend(received.effects)
+    if received.text is not None:
+        adopt_configuration(state, received.text, sender, now_ms)
 
 
-def adopt_configuration(state: BurstEntryState, text: bytes, source: str) -> None:
+def adopt_configuration(
+    state: BurstEntryState, text: bytes, source: str, now_ms: int
+) -> None:
     """Adopt a configuration if its version is higher, and offer it to linked agents.
 
     An unreadable one is logged and ignored.
@@ -55,9 +61,10 @@
         return
     configuration = decoded.unwrap()
     held = state.configuration.version
-    if not state.config_relay.adopt(configuration.version, text):
+    if not state.config_relay.hold(configuration.version, text):
         return
     state.configuration = configuration
+    state.route_table = RouteTable(configuration.routes)
     state.effects.append(ApplyLimits(configuration.limits))
     fields = {
         "version": configuration.version,
@@ -67,23 +74,24 @@
     }
     state.effects.append(LogDecision("configuration adopted", fields))
     linked = [view.name for view in state.agents.values() if view.linked]
-    state.effects.extend(state.config_relay.offers(linked, source))
+    state.effects.extend(state.config_relay.announce(linked, source))
+    state.effects.extend(state.config_relay.continue_transfers(now_ms))
 
 
 @handle_entry_event.register(ConfigOffer)
 def on_config_offer(
-    event: ConfigOffer, state: BurstEntryState, sender: str, _now_ms: int
+    event: ConfigOffer, state: BurstEntryState, sender: str, now_ms: int
 ) -> None:
     """Request the offered configuration if newer; offer this entry's if older."""
-    state.effects.extend(state.config_relay.answer_offer(sender, event.version))
+    state.effects.extend(state.config_relay.answer_offer(sender, event, now_ms))
 
 
 @handle_entry_event.register(ConfigRequest)
 def on_config_request(
-    _event: ConfigRequest, state: BurstEntryState, sender: str, _now_ms: int
+    event: ConfigRequest, state: BurstEntryState, sender: str, now_ms: int
 ) -> None:
-    """Send this entry's configuration."""
-    state.effects.extend(state.config_relay.answer_request(sender))
+    """Send a part of this entry's configuration."""
+    state.effects.extend(state.config_relay.answer_request(sender, event, now_ms))
 
 
 @handle_entry_event.register(AddressesRead)
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -8,8 +8,10 @@
 
 from sardineferry.charts import load_chart
 from sardineferry.decision.burst import timing
+from sardineferry.decision.burst.config_relay import STORE_READ_MS
 from sardineferry.decision.burst.config_relay import ConfigRelay
 from sardineferry.decision.burst.configuration import NO_CONFIGURATION
+from sardineferry.decision.burst.configuration import RouteTable
 from sardineferry.decision.burst.slowdown import WorkerSlowdowns
 from sardineferry.decision.burst.work_prediction import WorkPredictor
 from sardineferry.decision.circuit_breaker import CircuitBreaker
@@ -247,8 +249,9 @@
         self.random = random
         self.effects: list[BurstEffect] = []
         self.counters: Counter[str] = Counter()
-        self.config_relay = ConfigRelay()
+        self.config_relay = ConfigRelay(STORE_READ_MS, max_unasked_bytes=None)
         self.configuration = NO_CONFIGURATION
+        self.route_table = RouteTable(())
         self.known_entries: tuple[EntryEndpoint, ...] = ()
         self.agents: dict[str, AgentView] = {}
         self.jobs: dict[str, ActiveJob] = {}
--- a/src/sardineferry/messages/burst.py
+++ b/src/sardineferry/messages/burst.py
@@ -23,8 +23,8 @@
     "AgentBeat",
     "BurstMessage",
     "ConfigOffer",
+    "ConfigPart",
     "ConfigRequest",
-    "ConfigText",
     "EntryBeat",
     "EntryEndpoint",
     "EntryLeft",
@@ -240,29 +240,42 @@
 
 
 class ConfigOffer(NamedTuple):
-    """In both directions: the version of the configuration the sender has."""
+    """In both directions: a version of the configuration that the sender can send.
+
+    ``size`` is the length of its text in bytes.
+    """
 
     version: int
+    size: int
 
 
 class ConfigRequest(NamedTuple):
-    """In both directions: asks for the configuration that was offered."""
+    """In both directions: asks for a part of a configuration, from ``offset`` on.
+
+    It also confirms the part before. At the end of the text it asks for nothing.
+    """
 
     version: int
+    offset: int
+
 
+class ConfigPart(NamedTuple):
+    """In both directions: a part of a configuration's text, from ``offset`` on.
 
-class ConfigText(NamedTuple):
-    """In both directions: a configuration as the operator wrote it."""
+    The whole text, as the operator wrote it, has ``size`` bytes.
+    """
 
     version: int
+    size: int
+    offset: int
     text: bytes
 
 
 BurstMessage = (
     AgentBeat
     | ConfigOffer
+    | ConfigPart
     | ConfigRequest
-    | ConfigText
     | EntryBeat
     | EntryLeft
     | EntryWelcome
--- a/tests/decision/burst/test_entry.py
+++ b/tests/decision/burst/test_entry.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sardineferry.decision.burst import timing
+from sardineferry.decision.burst.config_relay import STORE_READ_MS
 from sardineferry.decision.burst.configuration import EdgeLimits
 from sardineferry.decision.burst.effects import ApplyLimits
 from sardineferry.decision.burst.effects import DropLink
@@ -21,8 +22,8 @@
 from sardineferry.decision.events import LinkDown
 from sardineferry.messages.burst import AgentBeat
 from sardineferry.messages.burst import ConfigOffer
+from sardineferry.messages.burst import ConfigPart
 from sardineferry.messages.burst import ConfigRequest
-from sardineferry.messages.burst import ConfigText
 from sardineferry.messages.burst import EntryBeat
 from sardineferry.messages.burst import HeldRuns
 from sardineferry.messages.burst import Resources
@@ -354,19 +355,24 @@
     entry: EntryDriver, text: bytes, version: int
 ) -> None:
     entry.handle(ConfigurationRead(text))
-    entry.handle(ConfigText(9, text), "a")
+    entry.handle(ConfigOffer(9, len(text)), "a")
+    entry.tick(STORE_READ_MS)
+    entry.handle(ConfigPart(9, len(text), 0, text), "a")
     assert entry.state.configuration.version == version
 
 
 @pytest.mark.parametrize(
     ("version", "expected"),
-    [(5, [ConfigRequest(5)]), (0, [ConfigOffer(1)]), (1, [])],
+    [(5, [ConfigRequest(5, 0)]), (0, [ConfigOffer(1, 1)]), (1, [])],
     ids=["newer", "older", "same"],
 )
 def test_configuration_offer_is_answered_by_its_version(
     entry: EntryDriver, version: int, expected: list[object]
 ) -> None:
-    effects = entry.handle(ConfigOffer(version), "a")
+    effects = entry.handle(ConfigOffer(version, 1), "a")
+    assert not sent(effects, ConfigRequest)
+    # The entry first waits for the store.
+    effects += entry.tick(STORE_READ_MS)
     assert sent(effects, ConfigRequest) + sent(effects, ConfigOffer) == expected
 
 
