--- a/src/sardineferry/platform/store.py
+++ b/src/sardineferry/platform/store.py
@@ -29,7 +29,14 @@
     from sardineferry.loop import IoLoop
     from sardineferry.web import HttpResult
 
-__all__ = ["NewestValues", "StoreClient", "StoreError", "StoreRecords", "keyed_record"]
+__all__ = [
+    "NewestValues",
+    "StoreClient",
+    "StoreError",
+    "StoreRecords",
+    "keyed_record",
+    "parse_keyed_record",
+]
 
 # The store usually responds in about 4 ms, but can take up to 100 times as long.
 CALL_TIMEOUT_S = 1.0
@@ -261,3 +268,14 @@
             f"key has {len(encoded_key)} bytes, but at most {MAX_KEY_BYTES} are allowed"
         )
     return bytes([len(encoded_key)]) + encoded_key + value
+
+
+def parse_keyed_record(record: bytes) -> tuple[str, bytes] | None:
+    """Return the key and value of a keyed topic's record, or None if malformed."""
+    value_start = 1 + record[0] if record else 0
+    if not record or value_start > len(record):
+        return None
+    try:
+        return record[1:value_start].decode(), record[value_start:]
+    except UnicodeDecodeError:
+        return None
--- a/src/sardineferry/platform/topic_watch.py
+++ b/src/sardineferry/platform/topic_watch.py
@@ -8,6 +8,7 @@
 from returns.result import Failure
 from returns.result import Result
 
+from sardineferry.clock import now_s
 from sardineferry.decision.burst.membership import EntriesRead
 from sardineferry.decision.burst.requests import ConfigurationRead
 from sardineferry.futures import when_done
@@ -17,6 +18,7 @@
 from sardineferry.platform.retry import RETRY_DELAY_S
 from sardineferry.platform.retry import RetriedCall
 from sardineferry.platform.store import keyed_record
+from sardineferry.platform.store import parse_keyed_record
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -43,6 +45,9 @@
 # to this, so that processes don't retry in step after an outage.
 RETRY_SPREAD = 0.5
 
+# Time between two reads of all values, in case a record was missed.
+FULL_READ_INTERVAL_S = 30.0
+
 logger = part_logger("store")
 
 
@@ -55,11 +60,11 @@
 
 
 class TopicWatch:
-    """Reads the newest values of a keyed topic repeatedly and passes them on.
+    """Follows a keyed topic and passes on the newest values of all keys.
 
-    Between two reads it waits for a new record, but for a limited time: a record
-    may have been deleted before it was seen, and its value is then found only by
-    reading all keys again.
+    It reads all values, then waits for new records. If records were deleted before
+    they were seen, it reads all values again, and also from time to time. Values can
+    have several hundred KB, and some links carry 1 MB/s.
     """
 
     def __init__(
@@ -78,6 +83,8 @@
         self.wait_ms = wait_ms
         self.random = random
         self.on_values = on_values
+        self.values: dict[str, bytes] = {}
+        self.full_read_due_s = 0.0
         # Whether the last read succeeded.
         self.healthy = True
 
@@ -100,16 +107,37 @@
             logger.info("Reading %s works again.", self.topic)
         self.healthy = True
         newest = result.unwrap()
-        self.on_values(newest.values)
-        change = self.client.read(self.topic, newest.end, self.wait_ms)
-        when_done(change, self.handle_change, self.handle_error)
-
-    def handle_change(self, result: Result[StoreRecords, StoreError]) -> None:
-        """Read the newest values again, whether or not a new record came."""
-        if isinstance(result, Failure) and result.failure().first_kept is None:
-            self.retry_later(result.failure().reason)
+        self.values = newest.values
+        self.full_read_due_s = now_s() + FULL_READ_INTERVAL_S
+        self.on_values(self.values)
+        self.wait_for_records(newest.end)
+
+    def wait_for_records(self, start: int) -> None:
+        """Wait for records from an offset on."""
+        records = self.client.read(self.topic, start, self.wait_ms)
+        when_done(records, self.handle_records, self.handle_error)
+
+    def handle_records(self, result: Result[StoreRecords, StoreError]) -> None:
+        """Apply new records, or read all values again if some may be missing."""
+        if isinstance(result, Failure):
+            if result.failure().first_kept is None:
+                self.retry_later(result.failure().reason)
+            else:
+                self.start()
+            return
+        read = result.unwrap()
+        position = read.start + len(read.records)
+        parsed = [parse_keyed_record(record) for record in read.records]
+        if position != read.end or None in parsed or now_s() >= self.full_read_due_s:
+            self.start()
             return
-        self.start()
+        for key, value in filter(None, parsed):
+            self.values[key] = value
+            if not value:
+                del self.values[key]
+        if parsed:
+            self.on_values(self.values)
+        self.wait_for_records(position)
 
     def retry_later(self, reason: str) -> None:
         """Retry after a delay; log the first of several failures in a row."""
--- a/tests/platform/test_bad_responses.py
+++ b/tests/platform/test_bad_responses.py
@@ -25,6 +25,7 @@
 from sardineferry.messages.burst import RunRef
 from sardineferry.platform.configuration import CONFIG_TOPIC
 from sardineferry.platform.store import StoreClient
+from sardineferry.platform.store import keyed_record
 from sardineferry.platform.topic_watch import TopicWatch
 from sardineferry.platform.topic_watch import configuration_handler
 from sardineferry.platform.worker import WorkerClient
@@ -174,6 +175,63 @@
         pass
 
 
+def record_page(end: int, *records: bytes) -> bytes:
+    lengths_and_records = b"".join(struct.pack(">I", len(r)) + r for r in records)
+    return struct.pack(">QQ", end, 0) + lengths_and_records
+
+
+@pytest.mark.parametrize(
+    ("read", "newest_reads"),
+    [
+        (record_page(2, keyed_record("config", b"2")), 1),
+        (record_page(3, keyed_record("x", b"1"), keyed_record("config", b"2")), 1),
+        (record_page(1), 1),
+        (record_page(9, keyed_record("config", b"1")), 2),
+        (record_page(2, b"\x09short"), 2),
+        (record_page(2, b""), 2),
+        (record_page(2, b"\x01\xff2"), 2),
+    ],
+    ids=["one", "two", "none", "gap", "short key", "empty", "key not UTF-8"],
+)
+def test_watch_reads_all_values_again_only_if_a_record_may_be_missing(
+    loop: IoLoop, read: bytes, newest_reads: int
+) -> None:
+    server = ScriptedServer(loop, [newest_page(b"1"), read], newest_page(b"2"))
+    if newest_reads == 1 and read == record_page(1):
+        server.bodies.append(record_page(2, keyed_record("config", b"2")))
+    seen: list[bytes] = []
+    watch = TopicWatch(
+        loop,
+        CONFIG_TOPIC,
+        StoreClient(loop, server.address),
+        0,
+        random.Random(1),
+        lambda values: seen.append(values["config"]),
+    )
+    watch.start()
+    run_until(loop, lambda: b"2" in seen)
+    assert server.paths.count("/v1/log-newest") == newest_reads
+    assert seen == [b"1", b"2"]
+
+
+def test_watch_forgets_a_deleted_key(loop: IoLoop) -> None:
+    deleted = record_page(2, keyed_record("config", b""))
+    server = ScriptedServer(loop, [newest_page(b"1"), deleted], newest_page(b"2"))
+    seen: list[dict[str, bytes]] = []
+    client = StoreClient(loop, server.address)
+    watch = TopicWatch(
+        loop,
+        CONFIG_TOPIC,
+        client,
+        0,
+        random.Random(1),
+        lambda values: seen.append(dict(values)),
+    )
+    watch.start()
+    run_until(loop, lambda: len(seen) >= 2)
+    assert seen[:2] == [{"config": b"1"}, {}]
+
+
 def test_watch_continues_after_an_exception_in_its_callback(
     loop: IoLoop,
 ) -> None:
