--- a/src/sardineferry/deployment/agent.py
+++ b/src/sardineferry/deployment/agent.py
@@ -32,8 +32,10 @@
 # A killed entry restarts within about 1 s, and agents must reconnect to it at once:
 # for the first 40 failures, the delay between attempts is at most 120 ms. An entry that
 # is away for longer may have been removed for good; the delay then grows to 1 s.
+# While an instance has no power, attempts get no answer: short timeouts find it soon
+# after its return, and the long one succeeds over a slow link.
 REDIAL_POLICY = RedialPolicy(
-    connect_timeout_s=0.5,
+    connect_timeouts_s=(0.1, 0.1, 0.2, 0.8),
     delay_cap_ms=120,
     failures_before_idle=40,
     idle_delay_cap_ms=1_000,
--- a/src/sardineferry/transport/dialer.py
+++ b/src/sardineferry/transport/dialer.py
@@ -30,14 +30,15 @@
 
 
 class RedialPolicy(NamedTuple):
-    """Timeout for opening a connection, and caps on the delay between attempts.
+    """Timeouts for opening a connection, and caps on the delay between attempts.
 
-    ``delay_cap_ms`` applies to the first ``failures_before_idle`` failures in a
-    row. After that the other end has probably gone for good, and
-    ``idle_delay_cap_ms`` applies. Both act within the limit of ``backoff_ms``.
+    The attempts take the timeouts in turn. ``delay_cap_ms`` applies to the first
+    ``failures_before_idle`` failures in a row. After that the other end has probably
+    gone for good, and ``idle_delay_cap_ms`` applies. Both act within the limit of
+    ``backoff_ms``.
     """
 
-    connect_timeout_s: float = 2.0
+    connect_timeouts_s: tuple[float, ...] = (2.0,)
     delay_cap_ms: int = 1_000
     failures_before_idle: int = 1_000_000
     idle_delay_cap_ms: int = 1_000
@@ -76,12 +77,9 @@
         """Dial, unless the dialer is stopped."""
         self.redial_timer = None
         if not self.stopped:
-            dial(
-                self.loop,
-                self.address,
-                self.redial_policy.connect_timeout_s,
-                self.on_dialled,
-            )
+            timeouts_s = self.redial_policy.connect_timeouts_s
+            timeout_s = timeouts_s[self.failures % len(timeouts_s)]
+            dial(self.loop, self.address, timeout_s, self.on_dialled)
 
     def redial_now(self) -> None:
         """End any wait for the next attempt: the other end is known to be back."""
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -7,8 +7,10 @@
 
 import pytest
 
+from sardineferry.clock import now_s
 from sardineferry.decision.common_events import LinkDown
 from sardineferry.decision.common_events import LinkUp
+from sardineferry.deployment.agent import REDIAL_POLICY
 from sardineferry.loop import IoLoop
 from sardineferry.mailbox import Mailbox
 from sardineferry.messages import wire
@@ -198,7 +200,7 @@
 
 def test_redial_delay_cap_rises_after_many_failures(near: LinkEnd) -> None:
     redial_policy = RedialPolicy(
-        0.5, 10, failures_before_idle=3, idle_delay_cap_ms=5_000
+        (0.5,), 10, failures_before_idle=3, idle_delay_cap_ms=5_000
     )
     dialer = dialer_to("127.0.0.1:1", near, redial_policy)
     run_until(near.loop, lambda: dialer.failures > 3)
@@ -209,6 +211,24 @@
     run_until(near.loop, lambda: dialer.failures == 1)
 
 
+def test_agent_finds_an_entry_soon_after_its_power_returns(near: LinkEnd) -> None:
+    """Replays a start of agents before the instances of their entries are back."""
+    # A full accept queue leaves connection requests without an answer.
+    listening = socket.create_server(("127.0.0.1", 0), backlog=0)
+    port = listening.getsockname()[1]
+    accepted = []
+    with socket.create_connection(("127.0.0.1", port)):
+        dialer_to(f"127.0.0.1:{port}", near, REDIAL_POLICY)
+        run_for(near.loop, 0.05)
+        assert near.mailbox.take() is None
+        accepted.append(listening.accept()[0])
+        returned_s = now_s()
+        assert near.next_event()[0] == LinkUp(f"127.0.0.1:{port}")
+        assert now_s() - returned_s < 0.25
+    for connected in (*accepted, listening):
+        connected.close()
+
+
 def test_stopped_dialer_opens_no_link(near: LinkEnd, listener: LinkListener) -> None:
     dialer = dialer_to(f"127.0.0.1:{listener.port}", near)
     dialer.stop()
