--- a/src/sardineferry/burst/entry.py
+++ b/src/sardineferry/burst/entry.py
@@ -10,10 +10,10 @@
 from sardineferry.burst.process import BurstProcess
 from sardineferry.burst.process import Startable
 from sardineferry.burst.settings_watch import SettingsWatch
+from sardineferry.clock import now_ms
 from sardineferry.decision.burst.effects import ApplyLimits
 from sardineferry.decision.burst.entry import BurstEntryCore
 from sardineferry.decision.burst.requests import BurstReply
-from sardineferry.decision.burst.requests import ReplyKind
 from sardineferry.decision.common_events import AddressesRead
 from sardineferry.logs import LogWriter
 from sardineferry.loop import IoLoop
@@ -38,10 +38,6 @@
 # Time to send queued responses once the core has exited, and to refuse requests that
 # arrive meanwhile.
 FLUSH_DELAY_S = 0.3
-# Time between two checks for requests that arrived after the core exited.
-LATE_REFUSAL_INTERVAL_S = 0.01
-# When refused callers should retry: soon, as other entries can serve them at once.
-RETRY_AFTER_MS = 500
 
 
 class EntryParts(NamedTuple):
@@ -82,7 +78,7 @@
 
     def __init__(self, parts: EntryParts) -> None:
         """Use these parts; their addresses are bound, nothing is started."""
-        super().__init__("entry", parts.core, parts)
+        super().__init__("entry", parts.core, parts, applies_late_events=True)
         self.parts = parts
 
     def start(self) -> None:
@@ -104,26 +100,16 @@
         super().drain()
 
     def leave(self) -> None:
-        """Close all links, and stop after a delay in which requests are refused."""
+        """Close all links, and stop after a delay in which requests are refused.
+
+        After a forced exit the core still has jobs, and some may have run.
+        """
+        self.core_loop.run_core("exit", lambda: self.parts.core.exit_now(now_ms()))
+        self.core_loop.handle_late_events()
         self.parts.links.close_all()
         self.parts.listener.stop()
-        self.refuse_late_requests()
         self.stop_after(FLUSH_DELAY_S)
 
-    def refuse_late_requests(self) -> None:
-        """Refuse all unanswered requests, repeatedly until the loop stops.
-
-        A core that exits by itself has answered all requests that it handled, so the
-        others arrived later and their jobs have not run. After a forced exit, jobs of
-        refused requests may have run.
-        """
-        self.parts.pending_requests.answer_all(
-            lambda token: BurstReply(
-                token, ReplyKind.NOT_RUN, "entry has left", RETRY_AFTER_MS
-            )
-        )
-        self.parts.loop.call_later(LATE_REFUSAL_INTERVAL_S, self.refuse_late_requests)
-
     @singledispatchmethod
     def perform(self, effect: BurstEffect) -> None:
         """Perform an effect; the base class performs those that processes share."""
--- a/src/sardineferry/burst/process.py
+++ b/src/sardineferry/burst/process.py
@@ -70,13 +70,27 @@
 class BurstProcess:
     """Runs a core until it has drained after a signal, or its grace period is over."""
 
-    def __init__(self, name: str, core: Core[BurstEffect], parts: ProcessParts) -> None:
-        """Connect the core to the parts; ``name`` is the process's name in logs."""
+    def __init__(
+        self,
+        name: str,
+        core: Core[BurstEffect],
+        parts: ProcessParts,
+        applies_late_events: bool = False,
+    ) -> None:
+        """Connect the core to the parts; ``name`` is the process's name in logs.
+
+        ``applies_late_events`` is described at ``CoreLoop``.
+        """
         self.name = name
         self.process_parts = parts
         self.logger = part_logger(name)
         self.core_loop: CoreLoop[BurstEffect] = CoreLoop(
-            core, parts.mailbox, self.perform, parts.links, self.leave
+            core,
+            parts.mailbox,
+            self.perform,
+            parts.links,
+            self.leave,
+            applies_late_events,
         )
         self.signals = SignalHandlers(self.drain, reload=parts.settings_watch.reload)
 
--- a/src/sardineferry/core_loop.py
+++ b/src/sardineferry/core_loop.py
@@ -63,18 +63,21 @@
         perform: Callable[[EffectT], None],
         links: LinkRegistry,
         on_exit: Callable[[], object],
+        applies_late_events: bool = False,
     ) -> None:
         """Prepare to run a core; no event is applied yet.
 
         ``perform`` carries out all effects except sends and the exit.
         ``on_exit`` is called once: when the core has asked to exit, or after a forced
-        exit.
+        exit. If ``applies_late_events`` is true, the core also gets the events that
+        come after that, until the process ends; else they are dropped.
         """
         self.core = core
         self.mailbox = mailbox
         self.perform = perform
         self.links = links
         self.on_exit = on_exit
+        self.applies_late_events = applies_late_events
         self.has_exited = False
         self.outbox: dict[str, list[object]] = {}
         self.next_tick_ms = 0
@@ -90,7 +93,7 @@
     def on_pass(self) -> None:
         """Apply a due tick and waiting events, then send the resulting messages."""
         if self.has_exited:
-            self.mailbox.events.clear()
+            self.handle_late_events()
             return
         now = now_ms()
         if not self.mailbox.events and now < self.next_tick_ms:
@@ -115,6 +118,13 @@
         if self.has_exited:
             self.on_exit()
 
+    def handle_late_events(self) -> None:
+        """Apply or drop the events that came after the exit."""
+        while (late_event := self.mailbox.take()) is not None:
+            if self.applies_late_events:
+                self.apply(*late_event)
+        self.flush()
+
     def force_exit(self) -> None:
         """Exit even though the core has not asked to within the time limit."""
         if not self.has_exited:
--- a/src/sardineferry/decision/burst/entry.py
+++ b/src/sardineferry/decision/burst/entry.py
@@ -93,6 +93,12 @@
             state.exiting = True
             state.effects.append(Exit("drained" if idle else "grace is over"))
 
+    def exit_now(self, now_ms: int) -> list[BurstEffect]:
+        """Finish all jobs and refuse later ones, if that has not been done yet."""
+        self.state.exiting = True
+        entry_callers.finish_all_jobs(self.state, now_ms)
+        return self.take_effects()
+
     def tick_interval_ms(self) -> int:
         """Return the longest time until the next tick."""
         busy = self.state.jobs or self.state.drain_started_ms is not None
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -215,6 +215,7 @@
         state.counters["runs_refused"] += 1
         if event.reason == StartAnswer.SUPERSEDED.value:
             task.attempt += SUPERSEDED_ATTEMPT_STEP
+            job.ran_before = True
         if event.reason in REASONS_TO_AVOID_WORKER:
             # Otherwise the task could be sent there again at once and be refused.
             task.avoided_agents.add(view.name)
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -9,6 +9,7 @@
 from sardineferry.decision.burst.effects import ObserveLatency
 from sardineferry.decision.burst.entry_dispatch import handle_entry_event
 from sardineferry.decision.burst.entry_placement import can_receive_orders
+from sardineferry.decision.burst.entry_state import UNKNOWN_JOB
 from sardineferry.decision.burst.entry_state import ActiveJob
 from sardineferry.decision.burst.entry_state import response_time_goal_ms
 from sardineferry.decision.burst.link_selection import count_links_per_agent
@@ -137,13 +138,14 @@
 ) -> float:
     """Return how long a job that arrives now would wait for its start.
 
-    Only queued jobs whose latest start is not after ``latest_start_ms`` count, as
-    they are placed before a job with this latest start. By default all count.
+    Only queued jobs that have started, or whose latest start is not after
+    ``latest_start_ms``, count: they are placed before a job with this latest start.
+    By default all count.
     """
     work_ahead = sum(
         job.waiting_work()
         for job in state.queue
-        if job.latest_start_ms <= latest_start_ms
+        if job.started or job.latest_start_ms <= latest_start_ms
     )
     if work_ahead <= 0:
         return 0.0
@@ -180,7 +182,12 @@
 def refuse_job(
     state: BurstEntryState, event: SubmitJob, reason: str, retry_after_ms: int
 ) -> None:
-    """Answer a caller that its job was not run."""
+    """Answer a caller that its job was not run.
+
+    A job that may have run before, under an earlier submission, gets no answer.
+    """
+    earlier = state.ended_jobs.get(event.job.job_id, UNKNOWN_JOB)
+    kind = ReplyKind.NO_ANSWER if earlier.may_have_run else ReplyKind.NOT_RUN
     state.counters["jobs_refused"] += 1
     fields: dict[str, object] = {
         "job": event.job.job_id,
@@ -190,20 +197,18 @@
         "config_version": state.configuration.version,
     }
     state.effects.append(LogDecision("job refused", fields))
-    state.effects.append(
-        BurstReply(event.token, ReplyKind.NOT_RUN, reason, retry_after_ms)
-    )
+    state.effects.append(BurstReply(event.token, kind, reason, retry_after_ms))
 
 
 def admit_job(
     state: BurstEntryState, event: SubmitJob, route: Route, now_ms: int
 ) -> None:
     """Queue a job with its response-time goal and latest start time."""
-    last_attempt = state.last_attempts.get(event.job.job_id, 0)
+    earlier = state.ended_jobs.get(event.job.job_id, UNKNOWN_JOB)
     work_ms = state.work_predictor.predict_ms(
         route.name, event.job.steps[0].estimate_ms
     )
-    job = ActiveJob(event.job, route, event.token, now_ms, last_attempt, work_ms)
+    job = ActiveJob(event.job, route, event.token, now_ms, earlier, work_ms)
     run_ms = work_ms * state.worker_slowdowns.typical_slowdown()
     job.latest_start_ms = now_ms + int(admission.max_start_wait_ms(job.goal_ms, run_ms))
     state.jobs[event.job.job_id] = job
@@ -297,12 +302,17 @@
 def finish_job(
     state: BurstEntryState, job: ActiveJob, kind: ReplyKind, reason: str, now_ms: int
 ) -> None:
-    """Remove a job, stop its runs and reply to all its callers."""
+    """Remove a job, stop its runs and reply to all its callers.
+
+    "Not run" is replied only if that is true of all submissions that are known.
+    """
+    if kind is ReplyKind.NOT_RUN and job.may_have_run:
+        kind = ReplyKind.NO_ANSWER
     state.jobs.pop(job.job.job_id, None)
     if job in state.queue:
         state.queue.remove(job)
         state.placement_due = True
-    state.remember_attempt(job)
+    state.remember_job(job)
     stop_job_runs(state, job)
     state.counters[f"jobs_{kind.value.replace(' ', '_')}"] += 1
     retry_ms = 0
@@ -360,5 +370,4 @@
     submit it again.
     """
     for job in list(state.jobs.values()):
-        kind = ReplyKind.NO_ANSWER if job.started else ReplyKind.NOT_RUN
-        finish_job(state, job, kind, "entry is leaving", now_ms)
+        finish_job(state, job, ReplyKind.NOT_RUN, "entry is leaving", now_ms)
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections import OrderedDict
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from sardineferry.charts import load_chart
 from sardineferry.decision.burst import timing
@@ -32,15 +33,37 @@
     from sardineferry.messages.burst import EntryEndpoint
     from sardineferry.messages.burst import WorkerProfile
 
-__all__ = ["ActiveJob", "ActiveTask", "AgentView", "BurstEntryState", "PlacedRun"]
+__all__ = [
+    "UNKNOWN_JOB",
+    "ActiveJob",
+    "ActiveTask",
+    "AgentView",
+    "BurstEntryState",
+    "EndedJob",
+    "PlacedRun",
+]
 
 # Within this time of its start an entry learns of all workers: agents connect
 # within 120 ms, and a worker that has just started reports within 1 s.
 WORKER_DISCOVERY_MS = 1_500
-# Ended jobs whose highest attempt number is kept, in case they are resubmitted.
+# Ended jobs that are kept, in case they are resubmitted.
 MAX_REMEMBERED_JOBS = 4_096
 
 
+class EndedJob(NamedTuple):
+    """What is kept of an ended job, in case it is submitted again.
+
+    ``attempt`` is its highest attempt number. ``may_have_run`` is true if a worker
+    has started a task, or may have.
+    """
+
+    attempt: int
+    may_have_run: bool
+
+
+UNKNOWN_JOB = EndedJob(0, may_have_run=False)
+
+
 class ActiveTask:
     """One task of an active job."""
 
@@ -85,25 +108,28 @@
         route: Route,
         token: int,
         now_ms: int,
-        attempt: int,
+        earlier: EndedJob,
         work_ms: float,
     ) -> None:
-        """Create the job with all tasks waiting.
+        """Create the job with all tasks waiting; ``earlier`` is its last submission.
 
-        Attempt numbers up to ``attempt`` were used by an earlier submission.
         ``work_ms`` is a task's expected run time on a worker with a slowdown of 1.
         """
         self.job = job
         self.route = route
         self.tokens = {token}
         self.arrived_ms = now_ms
-        self.attempt = attempt
+        self.attempt = earlier.attempt
         self.work_ms = work_ms
         self.goal_ms = response_time_goal_ms(route, work_ms)
         self.latest_start_ms = 0
-        self.tasks = [ActiveTask(index, attempt) for index in range(self.step.tasks)]
+        self.tasks = [
+            ActiveTask(index, earlier.attempt) for index in range(self.step.tasks)
+        ]
         # True once a run has ended that a worker started or may have started.
         self.had_run = False
+        # True if an earlier submission, here or at another entry, may have run.
+        self.ran_before = earlier.may_have_run
 
     @property
     def step(self) -> BurstStep:
@@ -115,6 +141,11 @@
         """Return whether any task has run, runs or may run because it was ordered."""
         return self.had_run or any(task.status != "waiting" for task in self.tasks)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether this or an earlier submission has run or may have."""
+        return self.ran_before or self.started
+
     def waiting_tasks(self) -> list[ActiveTask]:
         """Return the tasks that are not placed."""
         return [task for task in self.tasks if task.status == "waiting"]
@@ -261,8 +292,7 @@
         # True if a waiting task may fit that was new or did not fit at the last
         # placement.
         self.placement_due = False
-        # The highest attempt numbers of ended jobs, by job id.
-        self.last_attempts: OrderedDict[str, int] = OrderedDict()
+        self.ended_jobs: OrderedDict[str, EndedJob] = OrderedDict()
         self.worker_slowdowns = WorkerSlowdowns()
         self.work_predictor = WorkPredictor()
         self.next_order = 1
@@ -273,11 +303,11 @@
         # True once the process is about to exit: no job is admitted any more.
         self.exiting = False
 
-    def remember_attempt(self, job: ActiveJob) -> None:
-        """Keep a job's highest attempt number, in case it is submitted again."""
-        self.last_attempts[job.job.job_id] = job.attempt
-        while len(self.last_attempts) > MAX_REMEMBERED_JOBS:
-            self.last_attempts.popitem(last=False)
+    def remember_job(self, job: ActiveJob) -> None:
+        """Keep what matters of an ended job, in case it is submitted again."""
+        self.ended_jobs[job.job.job_id] = EndedJob(job.attempt, job.may_have_run)
+        while len(self.ended_jobs) > MAX_REMEMBERED_JOBS:
+            self.ended_jobs.popitem(last=False)
 
     def is_discovering_workers(self, now_ms: int) -> bool:
         """Return whether workers may still be unknown because of the recent start."""
--- a/src/sardineferry/pending_requests.py
+++ b/src/sardineferry/pending_requests.py
@@ -4,13 +4,9 @@
 
 import itertools
 from concurrent.futures import Future
-from typing import TYPE_CHECKING
 from typing import Generic
 from typing import TypeVar
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
 __all__ = ["PendingRequests"]
 
 T = TypeVar("T")
@@ -41,11 +37,6 @@
         if future is not None:
             future.set_result(value)
 
-    def answer_all(self, value: Callable[[int], T]) -> None:
-        """Answer every request with what ``value`` returns for its token."""
-        for token in list(self.futures):
-            self.answer(token, value(token))
-
     def discard(self, token: int) -> None:
         """Remove a request, so that a later answer is ignored."""
         self.futures.pop(token, None)
--- a/src/sardineferry/platform/worker.py
+++ b/src/sardineferry/platform/worker.py
@@ -45,6 +45,12 @@
 HTTP_MISDIRECTED = 421
 MS_PER_S = 1_000
 
+# After these responses to a stop, the run has been stopped, the fencing token has to
+# be raised, or the run has ended with the worker's earlier incarnation. An unhealthy
+# worker responds with 429 or 5xx and has done nothing.
+STOP_ANSWER_STATUSES = frozenset(
+    (http.HTTPStatus.OK, http.HTTPStatus.CONFLICT, HTTP_MISDIRECTED)
+)
 ENDED_BY_OUTCOME = {"done": ENDED_DONE, "failed": ENDED_FAILED}
 # Replaces a response that can't be processed.
 NO_RESPONSE = HttpResult(0, b"", "unreadable")
@@ -155,9 +161,8 @@
 
         def to_event(result: HttpResult) -> StopAnswered:
             fenced = decode_order_response(result.body).reason == "fence"
-            # Any HTTP response counts as an answer, also one with an error status;
-            # status 0 means that there was none.
-            return StopAnswered(order.run, result.status != 0, fenced, sent_ms)
+            answered = result.status in STOP_ANSWER_STATUSES
+            return StopAnswered(order.run, answered, fenced, sent_ms)
 
         self.send_request(self.orders, "/v1/run-stop", body, order.worker_id, to_event)
 
--- a/tests/decision/burst/test_entry.py
+++ b/tests/decision/burst/test_entry.py
@@ -6,10 +6,12 @@
 
 import pytest
 
+from sardineferry.core_loop import CoreLoop
 from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.config_relay import STORE_READ_MS
 from sardineferry.decision.burst.configuration import EdgeLimits
 from sardineferry.decision.burst.effects import ApplyLimits
+from sardineferry.decision.burst.effects import BurstEffect
 from sardineferry.decision.burst.effects import DropLink
 from sardineferry.decision.burst.requests import BurstReply
 from sardineferry.decision.burst.requests import CallerLeft
@@ -17,9 +19,11 @@
 from sardineferry.decision.burst.requests import ConfigurationRead
 from sardineferry.decision.burst.requests import ReplyKind
 from sardineferry.decision.burst.slowdown import LearnedSlowdown
+from sardineferry.decision.burst.worker import StartAnswer
 from sardineferry.decision.effects import Exit
 from sardineferry.decision.events import Drain
 from sardineferry.decision.events import LinkDown
+from sardineferry.mailbox import Mailbox
 from sardineferry.messages.burst import AgentBeat
 from sardineferry.messages.burst import ConfigOffer
 from sardineferry.messages.burst import ConfigPart
@@ -32,6 +36,7 @@
 from sardineferry.messages.burst import StopRuns
 from sardineferry.messages.burst import WorkerAnnounce
 from sardineferry.messages.burst import WorkerRoom
+from sardineferry.transport import LinkRegistry
 from tests.decision.burst.drive import TOTAL
 from tests.decision.burst.drive import EntryDriver
 from tests.decision.burst.drive import job
@@ -190,6 +195,70 @@
     assert reply_kinds(entry) == [KINDS.NO_ANSWER if started else KINDS.NOT_RUN]
 
 
+@pytest.mark.parametrize(
+    ("how", "reason", "kind"),
+    [
+        ("refused", "no room", KINDS.NOT_RUN),
+        ("refused", StartAnswer.SUPERSEDED.value, KINDS.NO_ANSWER),
+        ("lost", "entry lost", KINDS.NO_ANSWER),
+    ],
+)
+def test_refusal_after_an_earlier_submission_tells_whether_that_may_have_run(
+    entry: EntryDriver, how: str, reason: str, kind: ReplyKind
+) -> None:
+    """A worker that calls an attempt superseded ran it for another entry."""
+    entry.handle(submit(1, job()))
+    for name in "ab":
+        entry.handle(LinkDown(name))
+    end_all_runs(entry, how, reason)
+    entry.handle(CallerLeft(1))
+    entry.handle(submit(2, job()))
+    assert reply_kinds(entry) == [kind]
+
+
+def test_job_whose_attempt_was_superseded_is_not_said_to_be_not_run() -> None:
+    entry = EntryDriver(agents="a")
+    entry.handle(submit(1, job()))
+    entry.handle(LinkDown("a"))
+    end_all_runs(entry, "refused", StartAnswer.SUPERSEDED.value)
+    for _ in range(60):
+        entry.tick(100)
+    assert reply_kinds(entry) == [KINDS.NO_ANSWER]
+
+
+@pytest.mark.parametrize("linked", [False, True], ids=["not started", "started"])
+def test_forced_exit_refuses_only_jobs_that_have_not_run(linked: bool) -> None:
+    entry = EntryDriver(agents="a" if linked else "")
+    entry.state.started_ms = entry.now_ms
+    performed: list[object] = []
+    mailbox = Mailbox()
+    core_loop: CoreLoop[BurstEffect] = CoreLoop(
+        entry.core,
+        mailbox,
+        performed.append,
+        LinkRegistry(),
+        lambda: performed.extend(entry.core.exit_now(entry.now_ms)),
+        applies_late_events=True,
+    )
+    entry.handle(submit(1, job(1)))
+    core_loop.force_exit()
+    # The first job is submitted again, and a second one arrives.
+    for token, number in ((2, 1), (3, 2)):
+        mailbox.put(submit(token, job(number)))
+    core_loop.on_pass()
+    replies = [effect for effect in performed if isinstance(effect, BurstReply)]
+    first = KINDS.NO_ANSWER if linked else KINDS.NOT_RUN
+    assert [reply.kind for reply in replies] == [first, first, KINDS.NOT_RUN]
+
+
+def test_forecast_counts_the_waiting_tasks_of_started_jobs(entry: EntryDriver) -> None:
+    # Eight tasks run. Sixteen wait, and are placed before the tasks of the next job,
+    # although that has the earlier latest start.
+    entry.handle(submit(1, job(1, tasks=24, estimate_ms=2_000)))
+    entry.handle(submit(2, job(2, estimate_ms=100)))
+    assert reply_kinds(entry) == [KINDS.NOT_RUN]
+
+
 def test_runs_of_a_silent_agent_are_retried_only_after_they_expire(
     entry: EntryDriver,
 ) -> None:
--- a/tests/platform/test_bad_responses.py
+++ b/tests/platform/test_bad_responses.py
@@ -64,7 +64,14 @@
 class ScriptedServer:
     """Responds with each of ``bodies`` in turn, then with ``default_body``."""
 
-    def __init__(self, loop: IoLoop, bodies: list[bytes], default_body: bytes) -> None:
+    def __init__(
+        self,
+        loop: IoLoop,
+        bodies: list[bytes],
+        default_body: bytes,
+        status: int = 200,
+    ) -> None:
+        self.status = status
         self.bodies = list(bodies)
         self.default_body = default_body
         self.paths: list[str] = []
@@ -75,7 +82,7 @@
     def handle(self, request: HttpRequest, exchange: Exchange) -> None:
         self.paths.append(request.path)
         body = self.bodies.pop(0) if self.bodies else self.default_body
-        exchange.answer(HttpResponse(200, body))
+        exchange.answer(HttpResponse(self.status, body))
 
 
 @pytest.fixture
@@ -124,6 +131,29 @@
     assert stop.answered
 
 
+@pytest.mark.parametrize(
+    ("status", "body", "answered", "fenced"),
+    [
+        (200, b"{}", True, False),
+        (409, b'{"Reason":"fence"}', True, True),
+        (409, b'{"Reason":"old"}', True, False),
+        (421, b"", True, False),
+        (429, b"{}", False, False),
+        (500, b"{}", False, False),
+        (503, b"{}", False, False),
+    ],
+)
+def test_stop_that_an_unhealthy_worker_ignored_counts_as_unanswered(
+    loop: IoLoop, status: int, body: bytes, answered: bool, fenced: bool
+) -> None:
+    mailbox = Mailbox()
+    server = ScriptedServer(loop, [], body, status)
+    WorkerClient(loop, server.address, mailbox).perform(StopRun(RUN, 1, "w"))
+    stop = next_event(loop, mailbox)
+    assert isinstance(stop, StopAnswered)
+    assert (stop.answered, stop.fenced) == (answered, fenced)
+
+
 def test_exception_while_decoding_a_response_counts_as_no_answer(
     loop: IoLoop, monkeypatch: pytest.MonkeyPatch
 ) -> None:
