--- a/src/sardineferry/decision/burst/entry.py
+++ b/src/sardineferry/decision/burst/entry.py
@@ -101,7 +101,8 @@
 
     def tick_interval_ms(self) -> int:
         """Return the longest time until the next tick."""
-        busy = self.state.jobs or self.state.drain_started_ms is not None
+        state = self.state
+        busy = state.jobs or state.early_jobs or state.drain_started_ms is not None
         return BUSY_TICK_INTERVAL_MS if busy else IDLE_TICK_INTERVAL_MS
 
     def take_effects(self) -> list[BurstEffect]:
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -11,6 +11,7 @@
 from sardineferry.decision.burst.entry_placement import can_receive_orders
 from sardineferry.decision.burst.entry_state import UNKNOWN_JOB
 from sardineferry.decision.burst.entry_state import ActiveJob
+from sardineferry.decision.burst.entry_state import EarlyJob
 from sardineferry.decision.burst.entry_state import response_time_goal_ms
 from sardineferry.decision.burst.link_selection import count_links_per_agent
 from sardineferry.decision.burst.requests import BurstReply
@@ -28,7 +29,12 @@
     from sardineferry.decision.burst.entry_state import BurstEntryState
     from sardineferry.messages.burst import RunRef
 
-__all__ = ["expire_waiting_jobs", "finish_all_jobs", "finish_job"]
+__all__ = [
+    "admit_early_jobs",
+    "expire_waiting_jobs",
+    "finish_all_jobs",
+    "finish_job",
+]
 
 # A started job is given up if tasks still wait after this many response-time goals:
 # its callers then have no use for an answer.
@@ -36,6 +42,11 @@
 # While draining, a job is admitted if it should end this long before the end of the
 # grace period.
 DRAIN_MARGIN_MS = 1_500
+# A job that comes before the configuration waits for it at most this long. Reading
+# 1,700 routes takes 0.5 s on a link of 9.5 Mbit/s.
+MAX_CONFIGURATION_WAIT_MS = 700
+# The number of jobs that may wait for the configuration; a job takes about 2 KB.
+MAX_EARLY_JOBS = 500
 # Retry delay after a refusal for another reason than a long forecast wait, for
 # example while no worker is known.
 DEFAULT_RETRY_MS = 500
@@ -47,14 +58,50 @@
 ) -> None:
     """Admit a job, or reply that it is refused or that no route matches it.
 
-    If the job is already active, its caller waits for the same outcome.
+    A job that comes soon after the start, before the configuration has been read,
+    is held back.
     """
     if state.exiting:
         refuse_job(state, event, "entry has left", DEFAULT_RETRY_MS)
         return
-    if state.configuration.version < 0:
-        refuse_job(state, event, "no configuration yet", DEFAULT_RETRY_MS)
+    if state.configuration.version >= 0:
+        decide_admission(state, event, now_ms, now_ms)
         return
+    can_hold = (
+        state.is_discovering_workers(now_ms)
+        and state.drain_started_ms is None
+        and len(state.early_jobs) < MAX_EARLY_JOBS
+    )
+    if can_hold:
+        state.early_jobs[event.token] = EarlyJob(event, now_ms)
+    else:
+        refuse_job(state, event, "no configuration yet", DEFAULT_RETRY_MS)
+
+
+def admit_early_jobs(state: BurstEntryState, now_ms: int) -> None:
+    """Decide on the jobs that waited for the configuration, which has been read."""
+    early_jobs, state.early_jobs = state.early_jobs, {}
+    for early_job in early_jobs.values():
+        decide_admission(state, early_job.event, early_job.arrived_ms, now_ms)
+
+
+def refuse_early_jobs(
+    state: BurstEntryState, arrived_before_ms: int, reason: str
+) -> None:
+    """Refuse the jobs that wait for the configuration, if they came before a time."""
+    for token, early_job in list(state.early_jobs.items()):
+        if early_job.arrived_ms < arrived_before_ms:
+            del state.early_jobs[token]
+            refuse_job(state, early_job.event, reason, DEFAULT_RETRY_MS)
+
+
+def decide_admission(
+    state: BurstEntryState, event: SubmitJob, arrived_ms: int, now_ms: int
+) -> None:
+    """Admit a job that arrived at ``arrived_ms``, or refuse it.
+
+    If the job is already active, its caller waits for the same outcome.
+    """
     route = state.route_table.match(event.host, event.path)
     if route is None:
         fields: dict[str, object] = {
@@ -78,7 +125,7 @@
     if refusal is not None:
         refuse_job(state, event, *refusal)
         return
-    admit_job(state, event, route, now_ms)
+    admit_job(state, event, route, arrived_ms)
 
 
 def find_refusal(
@@ -201,16 +248,17 @@
 
 
 def admit_job(
-    state: BurstEntryState, event: SubmitJob, route: Route, now_ms: int
+    state: BurstEntryState, event: SubmitJob, route: Route, arrived_ms: int
 ) -> None:
     """Queue a job with its response-time goal and latest start time."""
     earlier = state.ended_jobs.get(event.job.job_id, UNKNOWN_JOB)
     work_ms = state.work_predictor.predict_ms(
         route.name, event.job.steps[0].estimate_ms
     )
-    job = ActiveJob(event.job, route, event.token, now_ms, earlier, work_ms)
+    job = ActiveJob(event.job, route, event.token, arrived_ms, earlier, work_ms)
     run_ms = work_ms * state.worker_slowdowns.typical_slowdown()
-    job.latest_start_ms = now_ms + int(admission.max_start_wait_ms(job.goal_ms, run_ms))
+    max_wait_ms = int(admission.max_start_wait_ms(job.goal_ms, run_ms))
+    job.latest_start_ms = arrived_ms + max_wait_ms
     state.jobs[event.job.job_id] = job
     state.job_ids_by_token[event.token] = event.job.job_id
     state.queue.append(job)
@@ -234,6 +282,7 @@
     event: CallerLeft, state: BurstEntryState, _sender: str, now_ms: int
 ) -> None:
     """Cancel the job if no other caller waits for it."""
+    state.early_jobs.pop(event.token, None)
     job_id = state.job_ids_by_token.pop(event.token, None)
     job = state.jobs.get(job_id) if job_id else None
     if job is None:
@@ -353,7 +402,10 @@
     that has started, some tasks wait for a retry, or for their first run if not all
     tasks fitted at once. It may wait longer, for ``ABANDON_AFTER_GOALS`` times its
     response-time goal. Its callers then get no answer, as other tasks may have run.
+    A job that waits for the configuration is refused after
+    ``MAX_CONFIGURATION_WAIT_MS``.
     """
+    refuse_early_jobs(state, now_ms - MAX_CONFIGURATION_WAIT_MS, "no configuration yet")
     for job in list(state.queue):
         if not job.started and now_ms > job.latest_start_ms:
             finish_job(state, job, ReplyKind.NOT_RUN, "no room in time", now_ms)
@@ -369,5 +421,6 @@
     The callers of a started job get no answer, as its outcome is not known; they may
     submit it again.
     """
+    refuse_early_jobs(state, now_ms + 1, "entry is leaving")
     for job in list(state.jobs.values()):
         finish_job(state, job, ReplyKind.NOT_RUN, "entry is leaving", now_ms)
--- a/src/sardineferry/decision/burst/entry_config.py
+++ b/src/sardineferry/decision/burst/entry_config.py
@@ -9,6 +9,7 @@
 from sardineferry.decision.burst.configuration import RouteTable
 from sardineferry.decision.burst.effects import ApplyLimits
 from sardineferry.decision.burst.effects import LogDecision
+from sardineferry.decision.burst.entry_callers import admit_early_jobs
 from sardineferry.decision.burst.entry_dispatch import handle_entry_event
 from sardineferry.decision.burst.membership import EntriesRead
 from sardineferry.decision.burst.requests import ConfigurationRead
@@ -75,6 +76,7 @@
     state.effects.append(LogDecision("configuration adopted", fields))
     linked = [view.name for view in state.agents.values() if view.linked]
     state.effects.extend(state.config_relay.announce(linked, source))
+    admit_early_jobs(state, now_ms)
     state.effects.extend(state.config_relay.continue_transfers(now_ms))
 
 
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -13,6 +13,7 @@
 from sardineferry.decision.burst.config_relay import ConfigRelay
 from sardineferry.decision.burst.configuration import NO_CONFIGURATION
 from sardineferry.decision.burst.configuration import RouteTable
+from sardineferry.decision.burst.requests import SubmitJob
 from sardineferry.decision.burst.slowdown import WorkerSlowdowns
 from sardineferry.decision.burst.work_prediction import WorkPredictor
 from sardineferry.decision.circuit_breaker import CircuitBreaker
@@ -39,6 +40,7 @@
     "ActiveTask",
     "AgentView",
     "BurstEntryState",
+    "EarlyJob",
     "EndedJob",
     "PlacedRun",
 ]
@@ -64,6 +66,13 @@
 UNKNOWN_JOB = EndedJob(0, may_have_run=False)
 
 
+class EarlyJob(NamedTuple):
+    """A job that waits for the configuration, and when it arrived."""
+
+    event: SubmitJob
+    arrived_ms: int
+
+
 class ActiveTask:
     """One task of an active job."""
 
@@ -287,6 +296,8 @@
         self.agents: dict[str, AgentView] = {}
         self.jobs: dict[str, ActiveJob] = {}
         self.job_ids_by_token: dict[int, str] = {}
+        # Jobs that came before the configuration, by token.
+        self.early_jobs: dict[int, EarlyJob] = {}
         # Jobs with waiting tasks.
         self.queue: list[ActiveJob] = []
         # True if a waiting task may fit that was new or did not fit at the last
--- a/tests/decision/burst/drive.py
+++ b/tests/decision/burst/drive.py
@@ -96,14 +96,17 @@
 class EntryDriver:
     """Runs an entry; the test plays its agents ``a``, ``b`` and so on."""
 
-    def __init__(self, agents: str = "ab", total: Resources = TOTAL) -> None:
+    def __init__(
+        self, agents: str = "ab", total: Resources = TOTAL, configured: bool = True
+    ) -> None:
         self.now_ms = 10_000
         self.configuration = Configuration(1, (route(),), EdgeLimits(), b"1")
         self.core = BurstEntryCore(
             BurstEntryState("e", "i", "dc", 6_000, self.decode, random.Random(1))
         )
         self.effects: list[object] = []
-        self.handle(ConfigurationRead(b"1"))
+        if configured:
+            self.handle(ConfigurationRead(b"1"))
         for name in agents:
             self.link(name, total)
         self.advance_time(2_000, agents)
--- a/tests/decision/burst/test_entry.py
+++ b/tests/decision/burst/test_entry.py
@@ -445,6 +445,55 @@
     assert sent(effects, ConfigRequest) + sent(effects, ConfigOffer) == expected
 
 
+def start_without_configuration() -> EntryDriver:
+    entry = EntryDriver(agents="a", configured=False)
+    entry.state.started_ms = entry.now_ms
+    return entry
+
+
+@pytest.mark.parametrize(
+    ("wait_ms", "served"), [(0, True), (500, True), (700, True), (760, False)]
+)
+def test_job_that_comes_before_the_configuration_waits_for_it(
+    wait_ms: int, served: bool
+) -> None:
+    """Replays the return of power: callers come while 1,700 routes are read."""
+    entry = start_without_configuration()
+    entry.handle(submit(1, job()))
+    assert reply_kinds(entry) == []
+    entry.advance_time(wait_ms, "a")
+    entry.now_ms += wait_ms % 100
+    entry.tick()
+    entry.handle(ConfigurationRead(b"1"))
+    assert len(entry.orders()) == served
+    assert reply_kinds(entry) == ([] if served else [KINDS.NOT_RUN])
+    if served:
+        # It has waited, which counts for its goal.
+        active = next(iter(entry.state.jobs.values()))
+        assert active.arrived_ms == entry.now_ms - wait_ms
+
+
+def test_job_does_not_wait_for_the_configuration_long_after_the_start() -> None:
+    entry = start_without_configuration()
+    entry.advance_time(2_000, "a")
+    entry.handle(submit(1, job()))
+    assert reply_kinds(entry) == [KINDS.NOT_RUN]
+
+
+@pytest.mark.parametrize(
+    "event", [CallerLeft(1), Drain("signal")], ids=["left", "exit"]
+)
+def test_job_that_waits_for_the_configuration_may_end_before_it(event: object) -> None:
+    entry = start_without_configuration()
+    entry.handle(submit(1, job()))
+    entry.handle(event)
+    if isinstance(event, Drain):
+        entry.advance_time(6_000, "a")
+    entry.handle(ConfigurationRead(b"1"))
+    assert entry.orders() == []
+    assert reply_kinds(entry) == ([KINDS.NOT_RUN] if isinstance(event, Drain) else [])
+
+
 def test_draining_entry_serves_short_jobs_and_refuses_long_ones(
     entry: EntryDriver,
 ) -> None:
