--- a/src/sardineferry/console/operator.py
+++ b/src/sardineferry/console/operator.py
@@ -9,6 +9,7 @@
 from sardineferry.console.commands.cancel import cancel
 from sardineferry.console.commands.drain import drain
 from sardineferry.console.commands.dump import dump
+from sardineferry.console.commands.explain import explain
 from sardineferry.console.commands.status import status
 from sardineferry.console.commands.submit import submit
 from sardineferry.console.commands.validate import validate
@@ -17,7 +18,7 @@
 
 application = cyclopts.App(name="sardineferry", version=__version__)
 application.command(preset.application)
-for command in (cancel, drain, dump, status, submit, validate):
+for command in (cancel, drain, dump, explain, status, submit, validate):
     application.command(command)
 
 
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -62,7 +62,7 @@
     is held back.
     """
     if state.exiting:
-        refuse_job(state, event, "entry has left", DEFAULT_RETRY_MS)
+        refuse_job(state, event, "entry has left", DEFAULT_RETRY_MS, now_ms)
         return
     if state.configuration.version >= 0:
         decide_admission(state, event, now_ms, now_ms)
@@ -75,7 +75,7 @@
     if can_hold:
         state.early_jobs[event.token] = EarlyJob(event, now_ms)
     else:
-        refuse_job(state, event, "no configuration yet", DEFAULT_RETRY_MS)
+        refuse_job(state, event, "no configuration yet", DEFAULT_RETRY_MS, now_ms)
 
 
 def admit_early_jobs(state: BurstEntryState, now_ms: int) -> None:
@@ -86,13 +86,13 @@
 
 
 def refuse_early_jobs(
-    state: BurstEntryState, arrived_before_ms: int, reason: str
+    state: BurstEntryState, max_wait_ms: int, reason: str, now_ms: int
 ) -> None:
-    """Refuse the jobs that wait for the configuration, if they came before a time."""
+    """Refuse the jobs that have waited too long for the configuration."""
     for token, early_job in list(state.early_jobs.items()):
-        if early_job.arrived_ms < arrived_before_ms:
+        if now_ms - early_job.arrived_ms > max_wait_ms:
             del state.early_jobs[token]
-            refuse_job(state, early_job.event, reason, DEFAULT_RETRY_MS)
+            refuse_job(state, early_job.event, reason, DEFAULT_RETRY_MS, now_ms)
 
 
 def decide_admission(
@@ -123,7 +123,7 @@
         return
     refusal = find_refusal(state, event, route, now_ms)
     if refusal is not None:
-        refuse_job(state, event, *refusal)
+        refuse_job(state, event, *refusal, now_ms)
         return
     admit_job(state, event, route, arrived_ms)
 
@@ -227,7 +227,11 @@
 
 
 def refuse_job(
-    state: BurstEntryState, event: SubmitJob, reason: str, retry_after_ms: int
+    state: BurstEntryState,
+    event: SubmitJob,
+    reason: str,
+    retry_after_ms: int,
+    now_ms: int,
 ) -> None:
     """Answer a caller that its job was not run.
 
@@ -241,6 +245,11 @@
         "reason": reason,
         "retry_after_ms": retry_after_ms,
         "queue": len(state.queue),
+        "free_cpu": sum(
+            view.available.cpu
+            for view in state.agents.values()
+            if can_receive_orders(view, now_ms)
+        ),
         "config_version": state.configuration.version,
     }
     state.effects.append(LogDecision("job refused", fields))
@@ -405,7 +414,7 @@
     A job that waits for the configuration is refused after
     ``MAX_CONFIGURATION_WAIT_MS``.
     """
-    refuse_early_jobs(state, now_ms - MAX_CONFIGURATION_WAIT_MS, "no configuration yet")
+    refuse_early_jobs(state, MAX_CONFIGURATION_WAIT_MS, "no configuration yet", now_ms)
     for job in list(state.queue):
         if not job.started and now_ms > job.latest_start_ms:
             finish_job(state, job, ReplyKind.NOT_RUN, "no room in time", now_ms)
@@ -421,6 +430,6 @@
     The callers of a started job get no answer, as its outcome is not known; they may
     submit it again.
     """
-    refuse_early_jobs(state, now_ms + 1, "entry is leaving")
+    refuse_early_jobs(state, -1, "entry is leaving", now_ms)
     for job in list(state.jobs.values()):
         finish_job(state, job, ReplyKind.NOT_RUN, "entry is leaving", now_ms)
