--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -19,6 +19,8 @@
 from typing import Any
 from typing import NamedTuple
 
+from sardineferry.loop import split_address
+
 __all__ = ["Fleet", "FleetError", "TargetPlan", "call_json"]
 
 READY_TIMEOUT_S = 30.0
@@ -107,10 +109,10 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
 
     def __enter__(self) -> Fleet:
-        """Start all processes, and wait until entries and agents are linked.
+        """Start all processes, and wait until they are linked and targets listen.
 
         Raises:
-            FleetError: They were not linked in time.
+            FleetError: They were not ready in time.
 
         """
         self.start_log()
@@ -123,6 +125,8 @@
         try:
             for address in self.http_addresses:
                 self.wait_for_links(address, len(self.target_addresses))
+            for address in self.target_addresses:
+                self.wait_for_listener(address)
         except FleetError:
             self.__exit__()
             raise
@@ -201,6 +205,23 @@
         path = self.write_settings(f"agent-{index}", settings)
         self.spawn(f"agent-{index}", "sardineferry-agent", path)
 
+    def wait_for_listener(self, address: str) -> None:
+        """Wait until an address accepts connections.
+
+        Raises:
+            FleetError: It accepted none in time.
+
+        """
+        deadline_s = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < deadline_s:
+            try:
+                socket.create_connection(split_address(address)).close()
+            except ConnectionRefusedError:
+                time.sleep(POLL_INTERVAL_S)
+            else:
+                return
+        raise FleetError(f"nothing listens on {address}")
+
     def wait_for_links(self, address: str, agents: int) -> None:
         """Wait until an entry is linked to that many agents and to all peers.
 
