--- a/bench/virtual/burst_load.py
+++ b/bench/virtual/burst_load.py
@@ -60,13 +60,18 @@
     from sardineferry.messages.burst import RunRef
 
 __all__ = [
+    "DEFAULT_HETEROGENEITY",
     "LOADS",
     "Burst",
+    "BurstSimulation",
+    "Choke",
     "DeploymentSize",
     "Heterogeneity",
     "JobKind",
     "LoadResult",
+    "find_simultaneous_runs",
     "run_load",
+    "run_simulation",
 ]
 
 # One-way delays of messages between entries and agents.
@@ -165,6 +170,15 @@
 DEFAULT_HETEROGENEITY = Heterogeneity()
 
 
+class Choke(NamedTuple):
+    """A time in which messages to entries, or from them, take longer, by this much."""
+
+    start_ms: int
+    duration_ms: int
+    to_entries_ms: int
+    from_entries_ms: int
+
+
 class LoadResult(NamedTuple):
     """The result of a load: shares of the jobs by kind, and their worth.
 
@@ -318,6 +332,8 @@
         self.speed = speed
         self.total = Resources(cpu, 1_000_000, 0)
         self.run_start_ms: dict[RunRef, float] = {}
+        # Ended runs, each with its start and end.
+        self.past_runs: list[tuple[RunRef, float, float]] = []
         self.listed_ends: list[ListedEnd] = []
         self.pending_hold: HoldWorker | None = None
         self.hold_count = 0
@@ -368,8 +384,10 @@
 
     def end_run(self, run: RunRef, how: str) -> None:
         """End a run and list its end."""
-        if self.run_start_ms.pop(run, None) is None:
+        start_ms = self.run_start_ms.pop(run, None)
+        if start_ms is None:
             return
+        self.past_runs.append((run, start_ms, self.simulation.clock.now_ms))
         number = self.simulation.next_end_number(self.name)
         self.listed_ends.append(ListedEnd(number, run, how))
         self.answer_hold()
@@ -458,6 +476,9 @@
         self.requests_by_job_id: dict[str, Request] = {}
         self.replies: dict[int, tuple[ReplyKind, float]] = {}
         self.start_messages = 0
+        self.chokes: tuple[Choke, ...] = ()
+        # When the last message of each link arrives, by sender and receiver.
+        self.last_arrival_ms: dict[tuple[Node, Node], float] = {}
         self.endpoints = tuple(
             EntryEndpoint(f"e{n}", f"e{n}:1", f"dc{n % size.data_centres}", "i")
             for n in range(size.entries)
@@ -509,7 +530,19 @@
             else CROSS_DATA_CENTRE_DELAY_MS
         )
         self.start_messages += type(message).__name__ == "StartRuns"
-        self.clock.run_after(delay_ms, partial(receiver.handle, message, sender))
+        now_ms = self.clock.now_ms
+        delay_ms += sum(
+            choke.to_entries_ms
+            if isinstance(receiver, EntryNode)
+            else choke.from_entries_ms
+            for choke in self.chokes
+            if 0 <= now_ms - choke.start_ms < choke.duration_ms
+        )
+        link = (sender_node, receiver)
+        arrival_ms = max(now_ms + delay_ms, self.last_arrival_ms.get(link, 0.0))
+        self.last_arrival_ms[link] = arrival_ms
+        deliver = partial(receiver.handle, message, sender)
+        self.clock.run_after(arrival_ms - now_ms, deliver)
 
     def next_end_number(self, agent: str) -> int:
         """Return the number of the next end at an agent's worker."""
@@ -588,8 +621,22 @@
 ) -> LoadResult:
     """Simulate a load and return its result."""
     simulation = BurstSimulation(size, heterogeneity, seed)
+    return run_simulation(simulation, bursts, (), load_duration_ms)
+
+
+def run_simulation(
+    simulation: BurstSimulation,
+    bursts: tuple[Burst, ...],
+    chokes: tuple[Choke, ...],
+    load_duration_ms: int,
+) -> LoadResult:
+    """Simulate a load; times of bursts and chokes count from its start."""
+    size = simulation.size
     simulation.clock.run_until_ms(simulation.clock.now_ms + WARM_UP_MS)
     load_start_ms = simulation.clock.now_ms
+    simulation.chokes = tuple(
+        choke._replace(start_ms=int(load_start_ms) + choke.start_ms) for choke in chokes
+    )
     # Jobs of a kind are submitted at rate_scale times its relative rate, per ms. So
     # all kinds together need the wanted share of the capacity on average.
     need_per_rate = size.task_cpu * sum(
@@ -618,6 +665,22 @@
     return evaluate(simulation, load_start_ms)
 
 
+def find_simultaneous_runs(
+    simulation: BurstSimulation,
+) -> list[tuple[RunRef, RunRef]]:
+    """Return pairs of runs of one task that overlapped."""
+    by_task: dict[str, list[tuple[float, float, RunRef]]] = {}
+    for agent in simulation.agents.values():
+        for run, start_ms, end_ms in agent.past_runs:
+            by_task.setdefault(run.task, []).append((start_ms, end_ms, run))
+    return [
+        (first[2], second[2])
+        for runs in by_task.values()
+        for first, second in itertools.pairwise(sorted(runs))
+        if second[0] < first[1]
+    ]
+
+
 def evaluate(simulation: BurstSimulation, load_start_ms: float) -> LoadResult:
     """Return the result of a finished simulation.
 
