--- a/bench/proxy.py
+++ b/bench/proxy.py
@@ -1,4 +1,4 @@
-"""A loopback proxy that can delay, block (also one way) or reset connections."""
+"""A loopback proxy that can slow, delay, block (also one way) or reset connections."""
 
 from __future__ import annotations
 
@@ -11,6 +11,8 @@
 __all__ = ["FaultyProxy"]
 
 MAX_CHUNK_BYTES = 64 * 1024
+# The largest chunk while the rate is limited, so that bytes flow evenly.
+LIMITED_CHUNK_BYTES = 2 * 1024
 # Time between checks whether a blocked direction is open again.
 BLOCKED_POLL_S = 0.01
 
@@ -18,7 +20,8 @@
 class FaultyProxy:
     """Forwards connections to a target, with the faults that are set.
 
-    ``delay_s`` delays each chunk. ``block_to_target`` and ``block_from_target``
+    ``delay_s`` delays each chunk. ``bytes_per_s`` limits the rate of each direction of
+    a connection; 0 sets no limit. ``block_to_target`` and ``block_from_target``
     block one direction, like a network partition: no bytes are lost, but none
     arrive until the block is lifted or the connection is closed.
     """
@@ -27,6 +30,7 @@
         """Listen, and accept connections in a thread."""
         self.target_address = target_address
         self.delay_s = 0.0
+        self.bytes_per_s = 0.0
         self.block_to_target = False
         self.block_from_target = False
         self.open_connections: set[socket.socket] = set()
@@ -65,8 +69,12 @@
     ) -> None:
         """Forward bytes in one direction until the connection ends."""
         try:
-            while chunk := source.recv(MAX_CHUNK_BYTES):
+            while chunk := source.recv(
+                LIMITED_CHUNK_BYTES if self.bytes_per_s else MAX_CHUNK_BYTES
+            ):
                 time.sleep(self.delay_s)
+                if self.bytes_per_s:
+                    time.sleep(len(chunk) / self.bytes_per_s)
                 while self.block_to_target if to_target else self.block_from_target:
                     time.sleep(BLOCKED_POLL_S)
                 destination.sendall(chunk)
