--- a/src/sardineferry/console/commands/explain.py
+++ b/src/sardineferry/console/commands/explain.py
@@ -21,16 +21,19 @@
 
     """
     try:
-        if job:
-            print_job(logs, job)
-        else:
-            print_report(logs, by_second)
+        output = describe_job(logs, job) if job else describe_losses(logs, by_second)
     except OSError as error:
         fail(f"can't read {error.filename}: {error.strerror}")
+    sys.stdout.write("".join(f"{line}\n" for line in output))
 
 
-def print_job(logs: tuple[Path, ...], job: str) -> None:
-    """Print the lines that contain a job's id, with the file that each is from."""
+def describe_job(logs: tuple[Path, ...], job: str) -> list[str]:
+    """Return the lines that contain a job's id, each with its file's name.
+
+    Raises:
+        OSError: A file can't be read.
+
+    """
     found = []
     for path in logs:
         with path.open("rb") as file:
@@ -40,23 +43,31 @@
                 if job.encode() in line
             ]
     # Lines begin with their time, so that this is the order in which they were written.
-    for line, process in sorted(found):
-        sys.stdout.write(f"{process}: {line}\n")
+    return [f"{process}: {line}" for line, process in sorted(found)]
 
 
-def print_report(logs: tuple[Path, ...], by_second: bool) -> None:
-    """Print the losses by cause and route, and what could not be read."""
+def describe_losses(logs: tuple[Path, ...], by_second: bool) -> list[str]:
+    """Return a table of losses by cause and route, and what could not be read.
+
+    Raises:
+        OSError: A file can't be read.
+
+    """
     report = explain_logs(logs)
-    write = sys.stdout.write
-    write(f"{report.jobs_ended} jobs ended, {len(report.losses)} lost or late\n")
-    write(f"{'count':>6} {'late by s':>10}  cause, route\n")
+    lines = [
+        f"{report.jobs_ended} jobs ended, {len(report.losses)} lost or late",
+        f"{'count':>6} {'late by s':>10}  cause, route",
+    ]
     for cause, route, count, over_ms in report.by_cause():
-        write(f"{count:>6} {over_ms / 1_000:>10.1f}  {cause.value}, {route or '-'}\n")
+        over_s = over_ms / 1_000
+        lines.append(f"{count:>6} {over_s:>10.1f}  {cause.value}, {route or '-'}")
     if by_second:
-        for at, cause, count in report.by_second():
-            write(f"{at} {count:>6}  {cause.value}\n")
+        lines += [
+            f"{at} {count:>6}  {cause.value}" for at, cause, count in report.by_second()
+        ]
     counts = report.counts
-    write(
+    lines.append(
         f"{counts.read} lines read, {counts.malformed} malformed and skipped, "
-        f"{counts.dropped} dropped by the processes\n"
+        f"{counts.dropped} dropped by the processes"
     )
+    return lines
