--- a/bench/virtual/burst_load.py
+++ b/bench/virtual/burst_load.py
@@ -15,10 +15,12 @@
 import statistics
 from collections import Counter
 from functools import partial
+from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 import cyclopts
+import msgspec
 from returns.result import Result
 from returns.result import Success
 
@@ -734,12 +736,19 @@
 
 @app.default
 def main(
-    *, seeds: int = 3, entries: int = 3, workers: int = 11, use: float = 0.7
+    *,
+    seeds: int = 3,
+    entries: int = 3,
+    workers: int = 11,
+    use: float = 0.7,
+    output: Path | None = None,
 ) -> None:
     """Simulate each load.
 
     Args:
         seeds: The number of seeds that each load is simulated with.
+        output: Write the worth of each load, by seed, to this file as JSON, for
+            ``bench.virtual.paired_difference``.
         entries: The number of entries, in three data centres, or five if over 20.
         workers: The number of workers.
         use: The share of the workers' capacity that is used on average.
@@ -747,9 +756,11 @@
     """
     data_centres = 5 if entries > 20 else 3
     size = DeploymentSize(data_centres, entries, workers, use)
+    worth_by_load: dict[str, list[float]] = {}
     for name, bursts in LOADS.items():
         results = [run_load(bursts, size, seed=seed) for seed in range(1, seeds + 1)]
-        worth = statistics.mean(result.worth for result in results)
+        worth_by_load[name] = [result.worth for result in results]
+        worth = statistics.mean(worth_by_load[name])
         worst = statistics.mean(result.worst_window for result in results)
         median = statistics.mean(result.median_ms for result in results)
         first = results[0]
@@ -758,6 +769,8 @@
             f"median {median:.0f} ms; first seed: late {first.late} "
             f"refused {first.refused}"
         )
+    if output is not None:
+        output.write_bytes(msgspec.json.encode(worth_by_load))
 
 
 if __name__ == "__main__":
