--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -226,7 +226,9 @@
         return
     job.had_run = True
     if event.how == ENDED_DONE:
-        record_success(state, view, placed, event)
+        # Runs from before an ejection do not close the open breaker.
+        if view.health.state != "open":
+            view.health.record_success()
         task.advance("done")
         finish_job_if_done(state, job, now_ms)
         return
@@ -245,22 +247,6 @@
     retry_task(state, job, task, "lost", now_ms)
 
 
-def record_success(
-    state: BurstEntryState,
-    view: AgentView,
-    placed: PlacedRun,
-    event: RunEnded,
-) -> None:
-    """Update the worker's health and the route's work from a completed run."""
-    step = placed.job.step
-    # Runs from before an ejection do not close the open breaker.
-    if view.health.state != "open":
-        view.health.record_success()
-    route = placed.job.route.name
-    slowdown = state.worker_slowdowns.slowdown(view.name, view.kind())
-    state.work_predictor.add_run(route, step.estimate_ms, event.run_ms, slowdown)
-
-
 def fail_probe(state: BurstEntryState, view: AgentView, now_ms: int) -> None:
     """Count a run without an outcome as a failure if its worker is being probed.
 
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -166,13 +166,12 @@
             else 0
         )
         return ("no worker is large enough or has the label", retry_ms)
-    work_ms = state.work_predictor.predict_ms(route.name, step.estimate_ms)
-    run_ms = work_ms * state.worker_slowdowns.typical_slowdown()
+    run_ms = step.estimate_ms * state.worker_slowdowns.typical_slowdown()
     if state.drain_started_ms is not None:
         remaining_ms = state.drain_started_ms + state.grace_ms - now_ms
         if run_ms + DRAIN_MARGIN_MS > remaining_ms:
             return ("entry is leaving", DEFAULT_RETRY_MS)
-    goal_ms = response_time_goal_ms(route, work_ms)
+    goal_ms = response_time_goal_ms(route, step.estimate_ms)
     max_wait_ms = admission.max_start_wait_ms(goal_ms, run_ms)
     wait_ms = forecast_start_wait_ms(state, now_ms, now_ms + max_wait_ms)
     if not discovering and wait_ms > max_wait_ms:
@@ -261,11 +260,8 @@
 ) -> None:
     """Queue a job with its response-time goal and latest start time."""
     earlier = state.ended_jobs.get(event.job.job_id, UNKNOWN_JOB)
-    work_ms = state.work_predictor.predict_ms(
-        route.name, event.job.steps[0].estimate_ms
-    )
-    job = ActiveJob(event.job, route, event.token, arrived_ms, earlier, work_ms)
-    run_ms = work_ms * state.worker_slowdowns.typical_slowdown()
+    job = ActiveJob(event.job, route, event.token, arrived_ms, earlier)
+    run_ms = job.step.estimate_ms * state.worker_slowdowns.typical_slowdown()
     max_wait_ms = int(admission.max_start_wait_ms(job.goal_ms, run_ms))
     job.latest_start_ms = arrived_ms + max_wait_ms
     state.jobs[event.job.job_id] = job
@@ -278,7 +274,6 @@
         "route": route.name,
         "tasks": job.step.tasks,
         "estimate_ms": job.step.estimate_ms,
-        "work_ms": int(work_ms),
         "goal_ms": int(job.goal_ms),
         "queue": len(state.queue),
         "config_version": state.configuration.version,
--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -122,7 +122,8 @@
 
 def meets_goal(job: ActiveJob, slowdown: float, now_ms: int) -> bool:
     """Return whether a task started now should meet the response-time goal."""
-    return now_ms + job.work_ms * slowdown <= job.arrived_ms + job.goal_ms
+    run_ms = job.step.estimate_ms * slowdown
+    return now_ms + run_ms <= job.arrived_ms + job.goal_ms
 
 
 def preferred_agents(
@@ -241,7 +242,7 @@
         tuple(job.run_ref(task) for task in tasks),
         job.job.spec,
         step.need,
-        int(job.work_ms),
+        step.estimate_ms,
         movable=not any(task.stalled for task in tasks),
     )
     state.effects.append(Send(view.name, message))
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -15,7 +15,6 @@
 from sardineferry.decision.burst.configuration import RouteTable
 from sardineferry.decision.burst.requests import SubmitJob
 from sardineferry.decision.burst.slowdown import WorkerSlowdowns
-from sardineferry.decision.burst.work_prediction import WorkPredictor
 from sardineferry.decision.circuit_breaker import CircuitBreaker
 from sardineferry.messages.burst import Resources
 from sardineferry.messages.burst import RunRef
@@ -118,19 +117,14 @@
         token: int,
         now_ms: int,
         earlier: EndedJob,
-        work_ms: float,
     ) -> None:
-        """Create the job with all tasks waiting; ``earlier`` is its last submission.
-
-        ``work_ms`` is a task's expected run time on a worker with a slowdown of 1.
-        """
+        """Create the job with all tasks waiting; ``earlier`` is its last submission."""
         self.job = job
         self.route = route
         self.tokens = {token}
         self.arrived_ms = now_ms
         self.attempt = earlier.attempt
-        self.work_ms = work_ms
-        self.goal_ms = response_time_goal_ms(route, work_ms)
+        self.goal_ms = response_time_goal_ms(route, self.step.estimate_ms)
         self.latest_start_ms = 0
         self.tasks = [
             ActiveTask(index, earlier.attempt) for index in range(self.step.tasks)
@@ -162,16 +156,16 @@
     def waiting_work(self) -> float:
         """Return the work of the waiting tasks, in thousandths of a core times ms."""
         step = self.step
-        return len(self.waiting_tasks()) * step.need.cpu * self.work_ms
+        return len(self.waiting_tasks()) * step.need.cpu * step.estimate_ms
 
     def run_ref(self, task: ActiveTask) -> RunRef:
         """Return the reference to the current run of a task."""
         return RunRef(f"{self.job.job_id}.0.0.{task.index}", task.attempt)
 
 
-def response_time_goal_ms(route: Route, work_ms: float) -> float:
-    """Return a job's response-time goal for the work of one of its tasks."""
-    return route.slack_factor * work_ms + route.goal_ms
+def response_time_goal_ms(route: Route, estimate_ms: int) -> float:
+    """Return a job's response-time goal for the estimated work of one of its tasks."""
+    return route.slack_factor * estimate_ms + route.goal_ms
 
 
 class PlacedRun:
@@ -305,7 +299,6 @@
         self.placement_due = False
         self.ended_jobs: OrderedDict[str, EndedJob] = OrderedDict()
         self.worker_slowdowns = WorkerSlowdowns()
-        self.work_predictor = WorkPredictor()
         self.next_order = 1
         self.started_ms: int | None = None
         # When the process last resumed after a pause; 0 if it never paused.
--- a/src/sardineferry/explain/causes.py
+++ b/src/sardineferry/explain/causes.py
@@ -15,8 +15,9 @@
 
 # A job that waited for longer than this share of its goal is late because of that.
 LONG_WAIT_GOAL_SHARE = 0.25
-# A run took longer than predicted for its worker if it exceeds this factor.
-OVER_PREDICTION_FACTOR = 1.3
+# A run took longer than estimated if its time exceeds that for its worker by this
+# factor.
+OVER_ESTIMATE_FACTOR = 1.3
 # A worker is slow if its slowdown exceeds that of most by this factor.
 SLOW_WORKER_FACTOR = 1.2
 
@@ -66,11 +67,11 @@
 class JobHistory:
     """What the logs tell of one job."""
 
-    __slots__ = ("orders", "runs", "work_ms")
+    __slots__ = ("estimate_ms", "orders", "runs")
 
-    def __init__(self, work_ms: int) -> None:
-        """Create it without orders; ``work_ms`` is a task's predicted work."""
-        self.work_ms = work_ms
+    def __init__(self, estimate_ms: int) -> None:
+        """Create it without orders; ``estimate_ms`` is a task's estimated work."""
+        self.estimate_ms = estimate_ms
         self.orders: list[RunsOrdered] = []
         self.runs: list[RunEnded] = []
 
@@ -107,7 +108,7 @@
         return Cause.WAITED
     slowdown = max(order.speed for order in history.orders)
     longest_ms = max((run.run_ms for run in history.runs), default=0)
-    if longest_ms > OVER_PREDICTION_FACTOR * history.work_ms * slowdown:
+    if longest_ms > OVER_ESTIMATE_FACTOR * history.estimate_ms * slowdown:
         return Cause.WORK_OVER_ESTIMATE
     if slowdown > SLOW_WORKER_FACTOR * usual_slowdown:
         return Cause.SLOW_WORKER
--- a/src/sardineferry/explain/lines.py
+++ b/src/sardineferry/explain/lines.py
@@ -24,12 +24,12 @@
 
 
 class JobAdmitted(msgspec.Struct, tag_field="event", tag="job admitted"):
-    """An entry queued a job; ``work_ms`` is the predicted work of a task."""
+    """An entry queued a job; ``estimate_ms`` is the estimated work of a task."""
 
     at: str
     job: str
     route: str
-    work_ms: int = 0
+    estimate_ms: int = 0
 
 
 class RunsOrdered(msgspec.Struct, tag_field="event", tag="runs ordered"):
@@ -44,14 +44,13 @@
 
 
 class RunEnded(msgspec.Struct, tag_field="event", tag="run ended"):
-    """An agent's run ended; ``estimate_ms`` is the predicted work."""
+    """An agent's run of a task ended."""
 
     at: str
     task: str
     how: str
     reason: str = ""
     run_ms: int = 0
-    estimate_ms: int = 0
 
     @property
     def job(self) -> str:
--- a/src/sardineferry/explain/report.py
+++ b/src/sardineferry/explain/report.py
@@ -93,7 +93,7 @@
         """Apply one line."""
         match line:
             case JobAdmitted():
-                self.active[line.job] = (line, JobHistory(line.work_ms))
+                self.active[line.job] = (line, JobHistory(line.estimate_ms))
             case RunsOrdered():
                 self.add_order(line)
             case JobEnded():
--- a/tests/decision/burst/test_placement.py
+++ b/tests/decision/burst/test_placement.py
@@ -14,6 +14,7 @@
 from sardineferry.decision.burst.placement import is_capacity_scarce
 from sardineferry.decision.burst.placement import place_tasks
 from sardineferry.decision.burst.placement import rank_candidates
+from sardineferry.decision.burst.requests import ConfigurationRead
 from sardineferry.decision.burst.slowdown import LearnedSlowdown
 from sardineferry.decision.burst.slowdown import SlowdownEstimator
 from sardineferry.decision.burst.slowdown import WorkerSlowdowns
@@ -21,8 +22,10 @@
 from sardineferry.messages.burst import Resources
 from sardineferry.messages.burst import RunEnded
 from sardineferry.messages.burst import WatchRoom
+from tests.decision.burst.drive import TOTAL
 from tests.decision.burst.drive import EntryDriver
 from tests.decision.burst.drive import job
+from tests.decision.burst.drive import route
 from tests.decision.burst.drive import sent
 from tests.decision.burst.drive import submit
 
@@ -210,6 +213,31 @@
     assert [name for name, _ in entry.orders()] == ["a"]
 
 
+def test_long_job_after_many_short_ones_does_not_go_to_a_slow_worker() -> None:
+    """Replays a route whose jobs differ in length and whose near workers are full.
+
+    An estimate that was drawn towards the route's average made long jobs seem short
+    enough for slow workers, where they were late.
+    """
+    entry = EntryDriver()
+    entry.configuration = entry.configuration._replace(
+        version=2, routes=(route(goal_ms=60, slack_factor=1.6),)
+    )
+    entry.handle(ConfigurationRead(b"2"))
+    report_slowdowns(entry, {"a": 0.7, "b": 1.7})
+    for number in range(100, 140):
+        entry.handle(submit(number, job(number, estimate_ms=150 + number)))
+        name, order = entry.orders()[-1]
+        entry.handle(RunEnded(order.runs[0], "done", int(0.7 * 250), ""), name)
+        entry.report_capacity(name, TOTAL, 99_999)
+    before = len(entry.orders())
+    entry.report_capacity("a", Resources(0, 1_000), 99_999)
+    entry.handle(submit(1, job(1, estimate_ms=900)))
+    assert len(entry.orders()) == before
+    entry.handle(submit(2, job(2, estimate_ms=250)))
+    assert [name for name, _ in entry.orders()[before:]] == ["b"]
+
+
 def test_short_job_overtakes_a_long_one_that_waits_for_a_fast_worker() -> None:
     entry = EntryDriver()
     report_slowdowns(entry, {"a": 0.6, "b": 3.0})
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -23,8 +23,8 @@
     return msgspec.json.encode({**record, "part": "p", **fields}) + b"\n"
 
 
-def admitted(job: str = JOB, work_ms: int = 100) -> bytes:
-    return line("job admitted", job=job, route="r", work_ms=work_ms, tasks=2)
+def admitted(job: str = JOB) -> bytes:
+    return line("job admitted", job=job, route="r", estimate_ms=100, tasks=2)
 
 
 def ordered(job: str = JOB, waited_ms: int = 0, speed: float = 1.0) -> bytes:
