--- a/src/sardineferry/explain/lines.py
+++ b/src/sardineferry/explain/lines.py
@@ -37,8 +37,6 @@
 
     at: str
     job: str
-    agent: str = ""
-    tasks: list[int] = msgspec.field(default_factory=list)
     waited_ms: int = 0
     speed: float = 1.0
 
@@ -83,7 +81,6 @@
     """A process started; it knows nothing of the jobs before."""
 
     at: str
-    name: str = ""
 
 
 JobLine = JobAdmitted | RunsOrdered | RunEnded | JobEnded | JobRefused | ProcessStarted
--- a/src/sardineferry/explain/report.py
+++ b/src/sardineferry/explain/report.py
@@ -163,12 +163,18 @@
 def collect_runs(
     paths: Iterable[Path], ended: Iterable[tuple[JobEnded, JobHistory]]
 ) -> None:
-    """Add the runs of these jobs from the logs of agents."""
-    histories = {line.job: history for line, history in ended}
+    """Add the runs of these jobs from the logs of agents.
+
+    A job that was submitted again may have ended at several entries.
+    """
+    histories: dict[str, list[JobHistory]] = {}
+    for ended_line, history in ended:
+        histories.setdefault(ended_line.job, []).append(history)
     if not histories:
         return
     for path in paths:
         with path.open("rb") as file:
             for line in decode_lines(file, LineCounts()):
-                if isinstance(line, RunEnded) and line.job in histories:
-                    histories[line.job].runs.append(line)
+                if isinstance(line, RunEnded):
+                    for history in histories.get(line.job, ()):
+                        history.runs.append(line)
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -139,6 +139,13 @@
     assert [loss.cause for loss in losses] == ([] if cause is None else [cause])
 
 
+def test_runs_count_for_each_entry_that_a_job_was_late_at(tmp_path: Path) -> None:
+    late = [*usual_orders(), admitted(), ordered(), ended()]
+    agent = [run_ended("lost", "entry lost")]
+    report = explain_logs(write(tmp_path, first=late, second=late, agent=agent))
+    assert [loss.cause for loss in report.losses] == [Cause.RUN_LOST] * 2
+
+
 def test_malformed_and_dropped_lines_are_counted(tmp_path: Path) -> None:
     lines = [
         b"not JSON\n",
