Log and count messages for which no link is open

A line "messages dropped" now names the link and the messages by type, and the counter messages_dropped is on the metrics page and in statsd. Lines of text show the fields of a record, as those of JSON did.

--- a/src/sardineferry/agent/process.py
+++ b/src/sardineferry/agent/process.py
@@ -61,7 +61,14 @@
         )
         self.usage_poller = UsagePoller(loop, settings.target, mailbox)
         self.dialers = DialerPool(loop, CODEC, mailbox, links, random)
-        self.core_loop = CoreLoop(core, mailbox, self.perform, links, self.leave)
+        self.core_loop = CoreLoop(
+            core,
+            mailbox,
+            self.perform,
+            links,
+            self.leave,
+            counters=core.state.counters,
+        )
         self.statsd_reporter = StatsdReporter(
             settings.statsd, f"agent.{settings.name}", core.state.counters
         )
--- a/src/sardineferry/burst/process.py
+++ b/src/sardineferry/burst/process.py
@@ -91,6 +91,7 @@
             parts.links,
             self.leave,
             applies_late_events,
+            parts.metrics_server.counters,
         )
         self.signals = SignalHandlers(self.drain, reload=parts.settings_watch.reload)
 
--- a/src/sardineferry/core_loop.py
+++ b/src/sardineferry/core_loop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 from typing import Generic
 from typing import Protocol
@@ -64,13 +65,15 @@
         links: LinkRegistry,
         on_exit: Callable[[], object],
         applies_late_events: bool = False,
+        counters: Counter[str] | None = None,
     ) -> None:
         """Prepare to run a core; no event is applied yet.
 
         ``perform`` carries out all effects except sends and the exit.
         ``on_exit`` is called once: when the core has asked to exit, or after a forced
         exit. If ``applies_late_events`` is true, the core also gets the events that
-        come after that, until the process ends; else they are dropped.
+        come after that, until the process ends; else they are dropped. Dropped messages
+        are counted in ``counters``, the process's table, if it is given.
         """
         self.core = core
         self.mailbox = mailbox
@@ -78,6 +81,7 @@
         self.links = links
         self.on_exit = on_exit
         self.applies_late_events = applies_late_events
+        self.counters: Counter[str] = Counter() if counters is None else counters
         self.has_exited = False
         self.outbox: dict[str, list[object]] = {}
         self.next_tick_ms = 0
@@ -173,4 +177,12 @@
         """
         outbox, self.outbox = self.outbox, {}
         for link_name, messages in outbox.items():
-            self.links.send(link_name, messages)
+            if not self.links.send(link_name, messages):
+                self.report_dropped(link_name, messages)
+
+    def report_dropped(self, link_name: str, messages: list[object]) -> None:
+        """Count and log messages that were dropped because their link is not open."""
+        self.counters["messages_dropped"] += len(messages)
+        by_type = Counter(type(message).__name__ for message in messages)
+        fields = {"link": link_name, "messages": by_type}
+        logger.warning("messages dropped", extra={"fields": fields})
--- a/src/sardineferry/entry/process.py
+++ b/src/sardineferry/entry/process.py
@@ -95,7 +95,14 @@
             ),
         }
         self.dialers = DialerPool(loop, CODEC, mailbox, links, random)
-        self.core_loop = CoreLoop(core, mailbox, self.perform, links, self.leave)
+        self.core_loop = CoreLoop(
+            core,
+            mailbox,
+            self.perform,
+            links,
+            self.leave,
+            counters=core.state.counters,
+        )
         self.statsd_reporter = StatsdReporter(
             settings.statsd, f"entry.{settings.name}", core.state.counters
         )
--- a/src/sardineferry/logs.py
+++ b/src/sardineferry/logs.py
@@ -52,7 +52,10 @@
 
 
 class TextFormatter(logging.Formatter):
-    """Formats records as lines of text, with times in UTC."""
+    """Formats records as lines of text, with times in UTC.
+
+    ``extra={"fields": ...}`` adds fields as JSON at the end of the line.
+    """
 
     def __init__(self) -> None:
         """Set the format."""
@@ -62,7 +65,9 @@
     def format(self, record: logging.LogRecord) -> str:
         """Format a record with the part that logged it."""
         record.part = part_of(record)
-        return super().format(record)
+        line = super().format(record)
+        fields = getattr(record, "fields", None)
+        return f"{line} {encode_fields(fields)}" if fields else line
 
 
 class JsonFormatter(logging.Formatter):
--- /dev/null
+++ b/tests/loop/test_core_loop.py
@@ -0,0 +1,159 @@
+"""Tests of the loop that feeds a core with events and ticks."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import cast
+
+import pytest
+
+from sardineferry.core_loop import CoreLoop
+from sardineferry.decision.common_effects import Send
+from sardineferry.logs import JsonFormatter
+from sardineferry.logs import TextFormatter
+from sardineferry.logs import part_logger
+from sardineferry.mailbox import Mailbox
+from sardineferry.messages.burst import EntryBeat
+from sardineferry.messages.burst import RunRef
+from sardineferry.messages.burst import StopRuns
+from sardineferry.transport import LinkRegistry
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from collections.abc import Sequence
+
+    from sardineferry.transport import Link
+
+STOP = StopRuns((RunRef("t", 1),))
+
+
+class SendingCore:
+    """A core whose only event is the effects that it returns."""
+
+    def __init__(self, interval_ms: int = 1_000) -> None:
+        self.interval_ms = interval_ms
+
+    def handle(self, event: object, _sender: str, _now_ms: int) -> Sequence[Send]:
+        return cast("Sequence[Send]", event)
+
+    def tick(self, _now_ms: int) -> Sequence[Send]:
+        return ()
+
+    def conclude(self, _now_ms: int) -> Sequence[Send]:
+        return ()
+
+    def tick_interval_ms(self) -> int:
+        return self.interval_ms
+
+    def take_effects(self) -> Sequence[Send]:
+        return ()
+
+
+class OpenLink:
+    """A link that keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.messages: list[object] = []
+
+    def send(self, messages: list[object]) -> None:
+        self.messages += messages
+
+
+class RecordKeeper(logging.Handler):
+    """A handler that keeps the records."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.records: list[logging.LogRecord] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.records.append(record)
+
+
+class LoopDriver:
+    """Runs a core loop; its only link is named ``a``."""
+
+    def __init__(self) -> None:
+        self.mailbox = Mailbox()
+        self.link = OpenLink()
+        self.counters: Counter[str] = Counter()
+        links = LinkRegistry()
+        links.add("a", cast("Link", self.link))
+        self.core_loop: CoreLoop[Send] = CoreLoop(
+            SendingCore(),
+            self.mailbox,
+            lambda _effect: None,
+            links,
+            lambda: None,
+            counters=self.counters,
+        )
+
+
+@pytest.fixture
+def records() -> Iterator[list[logging.LogRecord]]:
+    keeper = RecordKeeper()
+    logger = part_logger("core")
+    logger.addHandler(keeper)
+    yield keeper.records
+    logger.removeHandler(keeper)
+
+
+def logged(records: list[logging.LogRecord]) -> list[tuple[str, dict[str, Any]]]:
+    return [(record.getMessage(), vars(record)["fields"]) for record in records]
+
+
+@pytest.mark.parametrize(
+    ("sends", "delivered", "dropped"),
+    [
+        ([Send("a", STOP)], [STOP], {}),
+        ([Send("b", STOP)], [], {"b": {"StopRuns": 1}}),
+        (
+            [Send("b", STOP), Send("b", EntryBeat(1)), Send("b", EntryBeat(2))],
+            [],
+            {"b": {"StopRuns": 1, "EntryBeat": 2}},
+        ),
+        (
+            [Send("b", STOP), Send("a", EntryBeat(1)), Send("c", EntryBeat(2))],
+            [EntryBeat(1)],
+            {"b": {"StopRuns": 1}, "c": {"EntryBeat": 1}},
+        ),
+    ],
+    ids=["open", "not open", "several types", "several links"],
+)
+def test_messages_without_an_open_link_are_counted_and_logged(
+    sends: list[Send],
+    delivered: list[object],
+    dropped: dict[str, dict[str, int]],
+    records: list[logging.LogRecord],
+) -> None:
+    driver = LoopDriver()
+    driver.mailbox.put(sends)
+    driver.core_loop.on_pass()
+    assert driver.link.messages == delivered
+    assert logged(records) == [
+        ("messages dropped", {"link": link, "messages": by_type})
+        for link, by_type in dropped.items()
+    ]
+    count = sum(sum(by_type.values()) for by_type in dropped.values())
+    assert driver.counters["messages_dropped"] == count
+
+
+@pytest.mark.parametrize(
+    ("formatter", "text"),
+    [
+        (JsonFormatter(), '"event":"messages dropped","part":"core","link":"b",'),
+        (TextFormatter(), '[core] messages dropped {"link":"b",'),
+    ],
+    ids=["JSON", "text"],
+)
+def test_lines_of_both_forms_have_the_fields(
+    formatter: logging.Formatter, text: str, records: list[logging.LogRecord]
+) -> None:
+    driver = LoopDriver()
+    driver.mailbox.put([Send("b", STOP)])
+    driver.core_loop.on_pass()
+    line = formatter.format(records[0])
+    assert f'{text}"messages":{{"StopRuns":1}}}}' in line
