Log the stops that an entry orders

A line "runs stop ordered" for each agent has the runs as in "runs ordered" and whether the agent was linked.

Replayed with both agents linked, one or none of them, and with some or all runs ended before: the lines name the runs of the messages in all five cases.

--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -26,8 +26,8 @@
 
 if TYPE_CHECKING:
     from sardineferry.decision.burst.configuration import Route
+    from sardineferry.decision.burst.entry_state import ActiveTask
     from sardineferry.decision.burst.entry_state import BurstEntryState
-    from sardineferry.messages.burst import RunRef
 
 __all__ = [
     "admit_early_jobs",
@@ -390,13 +390,26 @@
 
 
 def stop_job_runs(state: BurstEntryState, job: ActiveJob) -> None:
-    """Stop the runs of a job, with one message per agent."""
-    by_agent: dict[str, list[RunRef]] = {}
+    """Stop the runs of a job, with one message per agent.
+
+    The message is lost if the agent has no link; the log shows whether it has.
+    """
+    by_agent: dict[str, list[ActiveTask]] = {}
     for task in job.tasks:
         if task.status == "placed":
-            by_agent.setdefault(task.agent, []).append(job.run_ref(task))
-    for name, refs in by_agent.items():
-        state.effects.append(Send(name, StopRuns(tuple(refs))))
+            by_agent.setdefault(task.agent, []).append(task)
+    for name, tasks in by_agent.items():
+        refs = tuple(job.run_ref(task) for task in tasks)
+        state.effects.append(Send(name, StopRuns(refs)))
+        view = state.agents.get(name)
+        fields: dict[str, object] = {
+            "job": job.job.job_id,
+            "agent": name,
+            "tasks": [task.index for task in tasks],
+            "attempts": [task.attempt for task in tasks],
+            "linked": view is not None and view.linked,
+        }
+        state.effects.append(LogDecision("runs stop ordered", fields))
 
 
 def expire_waiting_jobs(state: BurstEntryState, now_ms: int) -> None:
--- a/tests/decision/burst/drive.py
+++ b/tests/decision/burst/drive.py
@@ -15,6 +15,7 @@
 from sardineferry.decision.burst.configuration import Configuration
 from sardineferry.decision.burst.configuration import EdgeLimits
 from sardineferry.decision.burst.configuration import Route
+from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.entry import BurstEntryCore
 from sardineferry.decision.burst.entry import BurstEntryState
 from sardineferry.decision.burst.requests import BurstJob
@@ -45,6 +46,7 @@
     "AgentDriver",
     "EntryDriver",
     "job",
+    "logged",
     "ref",
     "route",
     "sent",
@@ -93,6 +95,11 @@
     return found
 
 
+def logged(effects: Iterable[object], event: str) -> list[dict[str, object]]:
+    """Return the fields of the log lines about an event."""
+    return [line.fields for line in sent(effects, LogDecision) if line.event == event]
+
+
 class EntryDriver:
     """Runs an entry; the test plays its agents ``a``, ``b`` and so on."""
 
--- a/tests/decision/burst/test_entry.py
+++ b/tests/decision/burst/test_entry.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import math
+from typing import TYPE_CHECKING
+from typing import cast
 
 import pytest
 
@@ -40,10 +42,14 @@
 from tests.decision.burst.drive import TOTAL
 from tests.decision.burst.drive import EntryDriver
 from tests.decision.burst.drive import job
+from tests.decision.burst.drive import logged
 from tests.decision.burst.drive import ref
 from tests.decision.burst.drive import sent
 from tests.decision.burst.drive import submit
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 KINDS = ReplyKind
 
 
@@ -390,6 +396,55 @@
     assert [run.attempt for _, o in entry.orders() for run in o.runs] == [1, 2]
 
 
+@pytest.mark.parametrize(
+    ("lost_links", "ended_tasks", "expected"),
+    [
+        ("", (), {"a": (4, True), "b": (2, True)}),
+        ("a", (), {"a": (4, False), "b": (2, True)}),
+        ("ab", (), {"a": (4, False), "b": (2, False)}),
+        ("", (0, 5), {"a": (3, True), "b": (1, True)}),
+        ("", range(6), {}),
+    ],
+    ids=["linked", "one not linked", "none linked", "some ended", "all ended"],
+)
+def test_ordered_stops_are_logged_for_each_agent(
+    lost_links: str,
+    ended_tasks: Sequence[int],
+    expected: dict[str, tuple[int, bool]],
+) -> None:
+    """Agent ``a`` holds four of the six tasks, ``b`` the last two."""
+    entry = EntryDriver(agents="a")
+    entry.handle(submit(1, job(tasks=6)))
+    entry.link("b")
+    agents = {
+        run: name for name, view in entry.state.agents.items() for run in view.runs
+    }
+    for index in ended_tasks:
+        entry.handle(RunEnded(ref(index), "done", 100, ""), agents[ref(index)])
+    for name in lost_links:
+        entry.handle(LinkDown(name))
+    effects = entry.handle(CallerLeft(1))
+    lines = logged(effects, "runs stop ordered")
+    found = {
+        str(line["agent"]): (len(cast("list[int]", line["tasks"])), line["linked"])
+        for line in lines
+    }
+    assert found == expected
+    # The lines name the runs that the messages name.
+    named = [
+        ref(index, attempt)
+        for line in lines
+        for index, attempt in zip(
+            cast("list[int]", line["tasks"]),
+            cast("list[int]", line["attempts"]),
+            strict=True,
+        )
+    ]
+    stopped = [run for message in sent(effects, StopRuns) for run in message.runs]
+    assert named == stopped
+    assert {line["job"] for line in lines} <= {job().job_id}
+
+
 @pytest.mark.parametrize(
     ("number", "expected"), [(1, [KINDS.CANCELLED] * 2), (9, [KINDS.NO_JOB])]
 )
