Log runs that go on or end though nobody waits for them

Entries now log "run of an ended job ended", "unknown run ended" and, from an agent's list on a new link, "agent holds unwanted runs". Ends that an agent repeats on a new link are not logged, as most have been applied before.

Replayed in 22 cases of jobs that ended, were given up or were submitted again: each outcome that nobody waits for gives one line, and the others none.

--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -169,6 +169,7 @@
     view = record_contact(state, sender, now_ms)
     if view is None:
         return
+    log_unwanted_runs(state, view, event)
     held = set(event.runs)
     for ref in [ref for ref in view.runs if ref not in held]:
         placed = view.runs.pop(ref)
@@ -179,6 +180,23 @@
     view.clear_reservations()
 
 
+def log_unwanted_runs(state: BurstEntryState, view: AgentView, event: HeldRuns) -> None:
+    """Log that an agent holds runs that are not placed, or whose jobs have ended."""
+    unwanted = [
+        ref
+        for ref in event.runs
+        if (placed := view.runs.get(ref)) is None or not state.is_active(placed.job)
+    ]
+    if unwanted:
+        fields: dict[str, object] = {
+            "agent": view.name,
+            "runs": len(unwanted),
+            "task": unwanted[0].task,
+            "attempt": unwanted[0].attempt,
+        }
+        state.effects.append(LogDecision("agent holds unwanted runs", fields))
+
+
 @handle_entry_event.register(RunEnded)
 def on_run_ended(
     event: RunEnded, state: BurstEntryState, sender: str, now_ms: int
@@ -190,10 +208,31 @@
     placed = view.runs.pop(event.run, None)
     if placed is None:
         state.counters["ends_ignored"] += 1
+        # On a new link an agent first repeats ends that may have been applied.
+        if view.accepting:
+            log_unwanted_outcome(state, view, event, "unknown run ended")
         return
+    if not state.is_active(placed.job):
+        log_unwanted_outcome(state, view, event, "run of an ended job ended")
     apply_run_end(state, view, placed, event, now_ms)
 
 
+def log_unwanted_outcome(
+    state: BurstEntryState, view: AgentView, ended: RunEnded, event: str
+) -> None:
+    """Log the end of a run for which nobody waits, if the run has an outcome."""
+    if ended.how not in (ENDED_DONE, ENDED_FAILED):
+        return
+    fields: dict[str, object] = {
+        "agent": view.name,
+        "task": ended.run.task,
+        "attempt": ended.run.attempt,
+        "how": ended.how,
+        "run_ms": ended.run_ms,
+    }
+    state.effects.append(LogDecision(event, fields))
+
+
 def record_contact(state: BurstEntryState, link: str, now_ms: int) -> AgentView | None:
     """Record that a message came from an agent; return the agent if known."""
     view = state.agents.get(link)
@@ -275,7 +314,7 @@
     """
     task.advance(event)
     state.placement_due = True
-    if state.jobs.get(job.job.job_id) is not job:
+    if not state.is_active(job):
         return
     if task.failures >= job.route.attempts:
         finish_job(state, job, ReplyKind.FAILED, "attempts used up", now_ms)
@@ -286,7 +325,7 @@
 
 def finish_job_if_done(state: BurstEntryState, job: ActiveJob, now_ms: int) -> None:
     """Finish a job as completed once all its tasks are done."""
-    if state.jobs.get(job.job.job_id) is not job:
+    if not state.is_active(job):
         return
     if all(task.status == "done" for task in job.tasks):
         finish_job(state, job, ReplyKind.COMPLETED, "all tasks done", now_ms)
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -313,6 +313,10 @@
         while len(self.ended_jobs) > MAX_REMEMBERED_JOBS:
             self.ended_jobs.popitem(last=False)
 
+    def is_active(self, job: ActiveJob) -> bool:
+        """Return whether a job has not ended; a later submission is another job."""
+        return self.jobs.get(job.job.job_id) is job
+
     def is_discovering_workers(self, now_ms: int) -> bool:
         """Return whether workers may still be unknown because of the recent start."""
         return self.started_ms is None or now_ms - self.started_ms < WORKER_DISCOVERY_MS
--- a/tests/decision/burst/test_entry.py
+++ b/tests/decision/burst/test_entry.py
@@ -34,6 +34,7 @@
 from sardineferry.messages.burst import HeldRuns
 from sardineferry.messages.burst import Resources
 from sardineferry.messages.burst import RunEnded
+from sardineferry.messages.burst import RunRef
 from sardineferry.messages.burst import StartRuns
 from sardineferry.messages.burst import StopRuns
 from sardineferry.messages.burst import WorkerAnnounce
@@ -325,6 +326,91 @@
     assert [run.attempt for _, o in entry.orders() for run in o.runs] == [1, 2]
 
 
+@pytest.mark.parametrize(
+    ("job_ended", "given_up", "how", "expected"),
+    [
+        (False, False, "done", []),
+        (True, False, "done", ["run of an ended job ended"]),
+        (True, False, "failed", ["run of an ended job ended"]),
+        (True, False, "lost", []),
+        (True, False, "refused", []),
+        (False, True, "done", ["unknown run ended"]),
+        (False, True, "failed", ["unknown run ended"]),
+        (False, True, "lost", []),
+    ],
+)
+@pytest.mark.parametrize("submitted_again", [False, True])
+def test_outcome_of_a_run_that_nobody_waits_for_is_logged(
+    job_ended: bool,
+    given_up: bool,
+    how: str,
+    expected: list[str],
+    submitted_again: bool,
+) -> None:
+    entry = EntryDriver(agents="a")
+    entry.handle(submit(1, job()))
+    if given_up:
+        entry.tick(timing.RUNS_ENDED_AFTER_MS + 1)
+        entry.report_capacity("a", TOTAL)
+    if job_ended:
+        entry.handle(CallerLeft(1))
+    if submitted_again:
+        entry.handle(submit(2, job()))
+    entry.effects.clear()
+    entry.handle(RunEnded(ref(), how, 70, ""), "a")
+    fields = {
+        "agent": "a",
+        "task": ref().task,
+        "attempt": 1,
+        "how": how,
+        "run_ms": 70,
+    }
+    found = {
+        event: logged(entry.effects, event)
+        for event in ("run of an ended job ended", "unknown run ended")
+        if logged(entry.effects, event)
+    }
+    assert found == {event: [fields] for event in expected}
+
+
+def test_end_that_is_repeated_on_a_new_link_is_not_logged() -> None:
+    entry = EntryDriver(agents="a")
+    entry.handle(submit(1, job()))
+    entry.handle(RunEnded(ref(), "done", 70, ""), "a")
+    entry.handle(LinkDown("a"))
+    entry.handle(WorkerAnnounce("a", "1", "dc"), "a")
+    entry.handle(RunEnded(ref(), "done", 70, ""), "a")
+    assert entry.state.counters["ends_ignored"] == 1
+    assert logged(entry.effects, "unknown run ended") == []
+
+
+@pytest.mark.parametrize(
+    ("held", "job_ended", "expected"),
+    [
+        ([], True, []),
+        ([ref(0), ref(1)], False, []),
+        ([ref(0)], True, [(1, ref(0))]),
+        ([ref(0), ref(1)], True, [(2, ref(0))]),
+        # The entry has not ordered this run since its start, or has given it up.
+        ([ref(0), ref(1, attempt=9)], False, [(1, ref(1, attempt=9))]),
+    ],
+)
+def test_held_runs_that_the_entry_does_not_want_are_logged(
+    held: list[RunRef], job_ended: bool, expected: list[tuple[int, RunRef]]
+) -> None:
+    entry = EntryDriver(agents="a")
+    entry.handle(submit(1, job(tasks=2)))
+    entry.handle(LinkDown("a"))
+    if job_ended:
+        entry.handle(CallerLeft(1))
+    entry.handle(WorkerAnnounce("a", "1", "dc"), "a")
+    effects = entry.handle(HeldRuns(tuple(held), 99), "a")
+    assert logged(effects, "agent holds unwanted runs") == [
+        {"agent": "a", "runs": count, "task": run.task, "attempt": run.attempt}
+        for count, run in expected
+    ]
+
+
 def test_earlier_runs_are_retried_once_a_restarted_agent_accepts_orders(
     entry: EntryDriver,
 ) -> None:
