Log orders for a task that an agent still runs

A line "run refused" now names the entries and attempts of both, and whether the existing run is being stopped.

So only the first order of an entry is logged for each existing run; three orders of one entry give one line.

--- a/src/sardineferry/decision/burst/agent_runs.py
+++ b/src/sardineferry/decision/burst/agent_runs.py
@@ -88,6 +88,7 @@
             # Typically a run that another entry ordered, before the caller
             # submitted the job again through this one.
             reason = "task is still running"
+            log_refused_run(state, existing, view.name, ref, reason)
         elif not is_valid:
             reason = "order expired"
         elif not state.accepting():
@@ -111,6 +112,29 @@
         send_start(state, run, now_ms)
 
 
+def log_refused_run(
+    state: BurstAgentState, existing: Run, entry_name: str, ref: RunRef, reason: str
+) -> None:
+    """Log that an order for a task was refused because of an existing run.
+
+    The entry may repeat its order at once, each time with another attempt, so only
+    its first one is logged.
+    """
+    if existing.refused_entry == entry_name:
+        return
+    existing.refused_entry = entry_name
+    fields: dict[str, object] = {
+        "task": ref.task,
+        "attempt": ref.attempt,
+        "entry": entry_name,
+        "reason": reason,
+        "existing_entry": existing.entry_name,
+        "existing_attempt": existing.ref.attempt,
+        "existing_status": existing.status,
+    }
+    state.effects.append(LogDecision("run refused", fields))
+
+
 def refuse_run(
     state: BurstAgentState, entry_name: str, ref: RunRef, reason: str, now_ms: int
 ) -> None:
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -39,6 +39,7 @@
         "movable",
         "need",
         "ref",
+        "refused_entry",
         "spec",
         "started_ms",
         "status",
@@ -72,6 +73,8 @@
         # When the worker last confirmed that the run has started or stopped.
         self.confirmed_ms = 0
         self.stop_reason = ""
+        # The entry whose order for the same task was refused last, if any.
+        self.refused_entry = ""
         # When the stop request is sent again; None if that is not scheduled.
         self.stop_due_ms: int | None = None
 
--- a/tests/decision/burst/test_agent.py
+++ b/tests/decision/burst/test_agent.py
@@ -41,6 +41,7 @@
 from tests.decision.burst.drive import NEED
 from tests.decision.burst.drive import TOTAL
 from tests.decision.burst.drive import AgentDriver
+from tests.decision.burst.drive import logged
 from tests.decision.burst.drive import ref
 from tests.decision.burst.drive import sent
 
@@ -117,6 +118,58 @@
     assert [end.reason for end in sent(effects, RunEnded)] == ["task is still running"]
 
 
+@pytest.mark.parametrize(
+    ("orders", "stopping", "expected"),
+    [
+        ([("f", 2)], False, [("f", 2)]),
+        ([("f", 2)], True, [("f", 2)]),
+        ([("e", 2)], False, [("e", 2)]),
+        ([("f", 1)], False, [("f", 1)]),
+        # The order of the run that exists is only repeated.
+        ([("e", 1)], False, []),
+        ([("f", 2), ("f", 3), ("f", 4)], False, [("f", 2)]),
+        ([("f", 2), ("e", 3), ("e", 4)], False, [("f", 2), ("e", 3)]),
+    ],
+)
+def test_first_order_of_an_entry_for_a_task_that_still_runs_is_logged(
+    agent: AgentDriver,
+    orders: list[tuple[str, int]],
+    stopping: bool,
+    expected: list[tuple[str, int]],
+) -> None:
+    start_run(agent)
+    links = {"e": LINK, "f": "10.0.0.2:7000"}
+    agent.link(links["f"], "f")
+    if stopping:
+        agent.handle(StopRuns((RUN,)))
+    for entry, attempt in orders:
+        agent.handle(order_for(agent, ref(attempt=attempt)), links[entry])
+    assert logged(agent.effects, "run refused") == [
+        {
+            "task": RUN.task,
+            "attempt": attempt,
+            "entry": entry,
+            "reason": "task is still running",
+            "existing_entry": "e",
+            "existing_attempt": 1,
+            "existing_status": "stopping" if stopping else "running",
+        }
+        for entry, attempt in expected
+    ]
+
+
+@pytest.mark.parametrize(
+    ("need", "ttl_ms", "reason"),
+    [(Resources(9_000), 400, "no room"), (NEED, -1, "order expired")],
+)
+def test_order_that_is_refused_for_another_reason_is_not_logged(
+    agent: AgentDriver, need: Resources, ttl_ms: int, reason: str
+) -> None:
+    effects = agent.order(RUN, need=need, ttl_ms=ttl_ms)
+    assert [end.reason for end in sent(effects, RunEnded)] == [reason]
+    assert logged(agent.effects, "run refused") == []
+
+
 def order_for(agent: AgentDriver, run: RunRef) -> StartRuns:
     return StartRuns(1, agent.now_ms + 400, (run,), "spec", Resources(1), 100, True)
 
