Measure how late ticks are

The core loop now adds it to the latency histogram, as what="tick" with outcome "late", and logs "timed actions late" above 100 ms.

Lateness counts from the tick that was planned; a pass that overruns before it plans one isn't in it.

--- a/src/sardineferry/burst/process.py
+++ b/src/sardineferry/burst/process.py
@@ -92,6 +92,7 @@
             self.leave,
             applies_late_events,
             parts.metrics_server.counters,
+            parts.metrics_server.latencies,
         )
         self.signals = SignalHandlers(self.drain, reload=parts.settings_watch.reload)
 
--- a/src/sardineferry/core_loop.py
+++ b/src/sardineferry/core_loop.py
@@ -11,6 +11,7 @@
 from sardineferry.clock import now_ms
 from sardineferry.decision.common_effects import Exit
 from sardineferry.decision.common_effects import Send
+from sardineferry.latencies import LatencyHistograms
 from sardineferry.logs import part_logger
 
 if TYPE_CHECKING:
@@ -26,6 +27,8 @@
 # the pass ends.
 MAX_EVENTS_PER_PASS = 256
 MS_PER_S = 1_000
+# Ticks that are later than this are logged.
+LOGGED_LATENESS_MS = 100
 # Longest wait of the I/O loop once the core has exited and needs no more ticks.
 EXITED_WAIT_S = 1.0
 
@@ -66,6 +69,7 @@
         on_exit: Callable[[], object],
         applies_late_events: bool = False,
         counters: Counter[str] | None = None,
+        latencies: LatencyHistograms | None = None,
     ) -> None:
         """Prepare to run a core; no event is applied yet.
 
@@ -73,7 +77,8 @@
         ``on_exit`` is called once: when the core has asked to exit, or after a forced
         exit. If ``applies_late_events`` is true, the core also gets the events that
         come after that, until the process ends; else they are dropped. Dropped messages
-        are counted in ``counters``, the process's table, if it is given.
+        are counted in ``counters`` and late ticks in ``latencies``, the process's
+        tables, if they are given.
         """
         self.core = core
         self.mailbox = mailbox
@@ -82,8 +87,10 @@
         self.on_exit = on_exit
         self.applies_late_events = applies_late_events
         self.counters: Counter[str] = Counter() if counters is None else counters
+        self.latencies = LatencyHistograms() if latencies is None else latencies
         self.has_exited = False
         self.outbox: dict[str, list[object]] = {}
+        # When the next tick is due; 0 before the first one.
         self.next_tick_ms = 0
 
     def wait_s(self) -> float:
@@ -107,6 +114,8 @@
         # starts new work last, in conclude(), because one of the messages may say
         # that the caller has disconnected.
         if now >= self.next_tick_ms:
+            if self.next_tick_ms > 0:
+                self.observe_lateness(now - self.next_tick_ms)
             self.next_tick_ms = now + self.core.tick_interval_ms()
             self.run_core("tick", lambda: self.core.tick(now))
         for _ in range(MAX_EVENTS_PER_PASS):
@@ -122,6 +131,12 @@
         if self.has_exited:
             self.on_exit()
 
+    def observe_lateness(self, late_ms: int) -> None:
+        """Record by how many milliseconds a tick, and so what it applies, is late."""
+        self.latencies.observe("tick", "late", late_ms)
+        if late_ms > LOGGED_LATENESS_MS:
+            logger.warning("timed actions late", extra={"fields": {"late_ms": late_ms}})
+
     def handle_late_events(self) -> None:
         """Apply or drop the events that came after the exit."""
         while (late_event := self.mailbox.take()) is not None:
--- a/src/sardineferry/metrics_page.py
+++ b/src/sardineferry/metrics_page.py
@@ -45,7 +45,7 @@
         """Return the latencies as a histogram with cumulative buckets."""
         family = HistogramMetricFamily(
             "sardineferry_latency_seconds",
-            "time from arrival to end",
+            "time from arrival to end; of ticks, from when they are due",
             labels=["what", "outcome"],
         )
         bounds = [*(str(bound / MS_PER_S) for bound in BUCKET_BOUNDS_MS), "+Inf"]
--- a/tests/loop/test_core_loop.py
+++ b/tests/loop/test_core_loop.py
@@ -12,6 +12,7 @@
 
 from sardineferry.core_loop import CoreLoop
 from sardineferry.decision.common_effects import Send
+from sardineferry.latencies import LatencyHistograms
 from sardineferry.logs import JsonFormatter
 from sardineferry.logs import TextFormatter
 from sardineferry.logs import part_logger
@@ -31,10 +32,7 @@
 
 
 class SendingCore:
-    """A core whose only event is the effects that it returns."""
-
-    def __init__(self, interval_ms: int = 1_000) -> None:
-        self.interval_ms = interval_ms
+    """A core whose events are the effects that it returns; it ticks each 20 ms."""
 
     def handle(self, event: object, _sender: str, _now_ms: int) -> Sequence[Send]:
         return cast("Sequence[Send]", event)
@@ -46,7 +44,7 @@
         return ()
 
     def tick_interval_ms(self) -> int:
-        return self.interval_ms
+        return 20
 
     def take_effects(self) -> Sequence[Send]:
         return ()
@@ -80,6 +78,7 @@
         self.mailbox = Mailbox()
         self.link = OpenLink()
         self.counters: Counter[str] = Counter()
+        self.latencies = LatencyHistograms()
         links = LinkRegistry()
         links.add("a", cast("Link", self.link))
         self.core_loop: CoreLoop[Send] = CoreLoop(
@@ -89,6 +88,7 @@
             links,
             lambda: None,
             counters=self.counters,
+            latencies=self.latencies,
         )
 
 
@@ -157,3 +157,39 @@
     driver.core_loop.on_pass()
     line = formatter.format(records[0])
     assert f'{text}"messages":{{"StopRuns":1}}}}' in line
+
+
+@pytest.mark.parametrize(
+    ("passes_ms", "late_ms", "logged_ms"),
+    [
+        ([9_000], [], []),
+        # No tick is due yet.
+        ([9_000, 9_010, 9_019], [], []),
+        ([9_000, 9_020], [0], []),
+        ([9_000, 9_027, 9_047, 9_070], [7, 0, 3], []),
+        ([9_000, 9_120], [100], []),
+        ([9_000, 9_121], [101], [101]),
+        ([9_000, 9_020, 10_040, 10_060], [0, 1_000, 0], [1_000]),
+    ],
+)
+@pytest.mark.parametrize("has_events", [False, True])
+def test_lateness_of_due_ticks_is_observed_and_logged_if_high(
+    passes_ms: list[int],
+    late_ms: list[int],
+    logged_ms: list[int],
+    has_events: bool,
+    records: list[logging.LogRecord],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    driver = LoopDriver()
+    for pass_ms in passes_ms:
+        monkeypatch.setattr("sardineferry.core_loop.now_ms", lambda at=pass_ms: at)
+        if has_events:
+            driver.mailbox.put([])
+        driver.core_loop.on_pass()
+    key = ("tick", "late")
+    assert sum(driver.latencies.counts.get(key, [])) == len(late_ms)
+    assert driver.latencies.sums_ms.get(key, 0) == sum(late_ms)
+    assert logged(records) == [
+        ("timed actions late", {"late_ms": late}) for late in logged_ms
+    ]
--- a/tests/process/test_burst_processes.py
+++ b/tests/process/test_burst_processes.py
@@ -350,6 +350,7 @@
     text = fetch_text(address, "/metrics")
     assert "sardineferry_jobs_completed_total 1.0" in text
     assert 'sardineferry_latency_seconds_count{outcome="completed",what="job"}' in text
+    assert 'sardineferry_latency_seconds_count{outcome="late",what="tick"}' in text
 
 
 def fetch_text(address: str, path: str) -> str:
