Let a run go on only while its entry names its order as wanted

What callers saw: nothing; a task of a job that they had submitted again after a broken connection ran twice at the same time, the work was done twice.

Cause: an entry sent a stop once, when its job ended. If the link to the agent was down at that moment, or broke with it, the stop was lost. The agent came back, listed the run, and the entry only looked for runs that the agent did not hold; its echoes kept every run of this entry alive, wanted or not. The class: a command sent once over a channel that may lose it, and nothing that compares what is wanted with what is there. The entry had the same gap where it gives up runs of an agent that it takes for lost.

Change: each echo of a timestamp names the orders whose runs the entry wants. It extends the permission of just these runs; the agent stops the others at once. An order permits only its own runs. Echoes are sent at the end of a pass, as orders are, so that an echo never precedes a job's end that was read in the same pass. An echo on a link that a newer one has replaced is ignored.

--- a/src/sardineferry/decision/burst/agent.py
+++ b/src/sardineferry/decision/burst/agent.py
@@ -113,7 +113,7 @@
             heartbeat_ms for _, heartbeat_ms in agent_links.heartbeat_due_times(state)
         )
         for run in state.runs.values():
-            due_ms.append(state.entry_views[run.entry_name].alive_until_ms + 1)
+            due_ms.append(run.permitted_until_ms + 1)
             if run.stop_due_ms is not None:
                 due_ms.append(run.stop_due_ms)
         if state.runs:
--- a/src/sardineferry/decision/burst/agent_links.py
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -150,17 +150,22 @@
 def on_entry_beat(
     event: EntryBeat, state: BurstAgentState, sender: str, now_ms: int
 ) -> None:
-    """Extend the time for which the entry's runs may go on.
+    """Extend the time for which the entry's wanted runs may go on; stop the others.
 
     The time counts from when the agent sent the echoed timestamp, not from when
-    the echo arrived: the echo may have been delayed.
+    the echo arrived: the echo may have been delayed. An echo on a link that another
+    one has replaced is ignored, as it may be older than the newest order.
     """
     view = find_entry_by_link(state, sender)
-    if view is None:
+    if view is None or view.link != sender:
         return
     view.last_heard_ms = now_ms
-    alive_until_ms = event.echo_ms + timing.SILENCE_LIMIT_MS
-    view.alive_until_ms = max(view.alive_until_ms, alive_until_ms)
+    permitted_until_ms = event.echo_ms + timing.SILENCE_LIMIT_MS
+    for run in state.runs_of(view.name):
+        if run.order in event.wanted_orders:
+            run.permitted_until_ms = max(run.permitted_until_ms, permitted_until_ms)
+        else:
+            agent_runs.begin_stop(state, run, "not wanted by its entry")
 
 
 @handle_agent_event.register(WatchRoom)
@@ -349,9 +354,8 @@
 
 def check_entries(state: BurstAgentState, now_ms: int) -> None:
     """Stop the runs of lost entries and drop silent links."""
+    agent_runs.stop_unpermitted_runs(state, now_ms)
     for view in list(state.entry_views.values()):
-        if now_ms > view.alive_until_ms:
-            stop_runs_of_lost_entry(state, view, now_ms)
         silent_ms = now_ms - max(view.last_heard_ms, state.resumed_ms)
         if view.linked and silent_ms > timing.IDLE_SILENCE_LIMIT_MS:
             # Not dropped again at each tick until the link is reported as down.
@@ -360,25 +364,6 @@
             state.effects.append(DropLink(view.link))
 
 
-def stop_runs_of_lost_entry(
-    state: BurstAgentState, view: EntryView, now_ms: int
-) -> None:
-    """Stop the runs of a lost entry, as callers may resubmit its jobs elsewhere."""
-    live = [run for run in state.runs_of(view.name) if agent_runs.is_live(run)]
-    if not live:
-        return
-    fields: dict[str, object] = {
-        "entry": view.name,
-        "runs": len(live),
-        "silent_ms": now_ms - view.alive_until_ms + timing.SILENCE_LIMIT_MS,
-        "bound_ms": timing.SILENCE_LIMIT_MS,
-    }
-    state.effects.append(LogDecision("entry lost, stopping its runs", fields))
-    state.counters["runs_stopped_entry_lost"] += len(live)
-    for run in live:
-        agent_runs.begin_stop(state, run, "entry lost")
-
-
 def log_link(state: BurstAgentState, event: str, view: EntryView, now_ms: int) -> None:
     """Log a change of the link to an entry."""
     fields: dict[str, object] = {
--- a/src/sardineferry/decision/burst/agent_runs.py
+++ b/src/sardineferry/decision/burst/agent_runs.py
@@ -39,6 +39,7 @@
     "raise_fencing_token",
     "resend_due_stops",
     "stop_stalled_runs",
+    "stop_unpermitted_runs",
 ]
 
 # A start request without an answer is sent again, with the same attempt number,
@@ -75,8 +76,6 @@
     view.frequent_updates_until_ms = now_ms + timing.FREQUENT_UPDATES_MS
     state.capacity_changed = True
     is_valid = now_ms <= event.expires_ms
-    if is_valid:
-        view.alive_until_ms = max(view.alive_until_ms, event.expires_ms)
     free = state.free()
     runs_by_task = {run.ref.task: run for run in state.runs.values()}
     for ref in event.runs:
@@ -102,6 +101,7 @@
         run = Run(
             ref,
             view.name,
+            event.order,
             event.need,
             event.spec,
             event.estimate_ms,
@@ -258,6 +258,29 @@
     send_stop(state, run)
 
 
+def stop_unpermitted_runs(state: BurstAgentState, now_ms: int) -> None:
+    """Stop runs whose permission has ended: callers may resubmit their jobs elsewhere.
+
+    An entry extends the permission as long as it is alive and wants the run.
+    """
+    ended: dict[str, list[Run]] = {}
+    for run in state.runs.values():
+        if now_ms > run.permitted_until_ms and is_live(run):
+            ended.setdefault(run.entry_name, []).append(run)
+    for entry_name, runs in ended.items():
+        newest_ms = max(run.permitted_until_ms for run in runs)
+        fields: dict[str, object] = {
+            "entry": entry_name,
+            "runs": len(runs),
+            "silent_ms": now_ms - newest_ms + timing.SILENCE_LIMIT_MS,
+            "bound_ms": timing.SILENCE_LIMIT_MS,
+        }
+        state.effects.append(LogDecision("entry lost, stopping its runs", fields))
+        state.counters["runs_stopped_entry_lost"] += len(runs)
+        for run in runs:
+            begin_stop(state, run, "entry lost")
+
+
 def stop_stalled_runs(
     state: BurstAgentState, present: Iterable[ListedRun], now_ms: int
 ) -> None:
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from sardineferry.charts import load_chart
-from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.config_relay import PART_BYTES
 from sardineferry.decision.burst.config_relay import ConfigRelay
 from sardineferry.decision.burst.slowdown import SlowdownEstimator
@@ -38,6 +37,8 @@
         "expires_ms",
         "movable",
         "need",
+        "order",
+        "permitted_until_ms",
         "ref",
         "refused_entry",
         "spec",
@@ -52,19 +53,27 @@
         self,
         ref: RunRef,
         entry_name: str,
+        order: int,
         need: Resources,
         spec: str,
         estimate_ms: int,
         expires_ms: int,
         movable: bool,
     ) -> None:
-        """Create a run as ordered by the entry of this name."""
+        """Create a run as ordered by the entry of this name.
+
+        ``order`` is the number of the order, which expires at ``expires_ms``.
+        """
         self.ref = ref
         self.entry_name = entry_name
+        self.order = order
         self.need = need
         self.spec = spec
         self.estimate_ms = estimate_ms
         self.expires_ms = expires_ms
+        # The run is stopped after this time, unless its entry extends it by naming the
+        # order as wanted.
+        self.permitted_until_ms = expires_ms
         self.movable = movable
         self.status = load_chart("run").initial
         # Start requests that were sent to the worker.
@@ -108,8 +117,6 @@
         self.incarnation = incarnation
         self.link = link
         self.linked = True
-        # Its runs are stopped after this time, unless an echo or order extends it.
-        self.alive_until_ms = now_ms + timing.SILENCE_LIMIT_MS
         self.last_heard_ms = now_ms
         # The highest number of an order received from it.
         self.last_order = 0
--- a/src/sardineferry/decision/burst/entry.py
+++ b/src/sardineferry/decision/burst/entry.py
@@ -51,11 +51,13 @@
         return self.take_effects()
 
     def conclude(self, now_ms: int) -> list[BurstEffect]:
-        """Place waiting tasks after all events of a pass were applied.
+        """Place waiting tasks and send echoes after all events of a pass were applied.
 
-        Runs are ordered only here, as any event of the pass may end a job.
+        Runs are ordered and kept going only here, as any event of the pass may end a
+        job.
         """
         entry_placement.place_waiting_tasks(self.state, now_ms)
+        entry_agents.send_due_echoes(self.state, now_ms)
         return self.take_effects()
 
     def tick(self, now_ms: int) -> list[BurstEffect]:
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -35,7 +35,7 @@
     from sardineferry.decision.burst.entry_state import BurstEntryState
     from sardineferry.decision.burst.entry_state import PlacedRun
 
-__all__ = ["check_agents"]
+__all__ = ["check_agents", "send_due_echoes"]
 
 # Added to a task's attempt number when a worker refuses it because it has ended this
 # or a later attempt, which another entry ordered for an earlier submission.
@@ -128,7 +128,7 @@
     state.worker_slowdowns.update(view.name, view.kind(), learned)
     gap_ms = timing.ECHO_INTERVAL_MS if view.runs else timing.IDLE_ECHO_INTERVAL_MS
     if now_ms - view.last_echo_ms >= gap_ms:
-        echo_timestamp(state, view, now_ms)
+        state.due_echoes[view.name] = None
     if view.update_capacity(event.free, event.last_order):
         state.placement_due = True
     if view.accepting != event.accepting:
@@ -145,17 +145,26 @@
 def on_agent_beat(
     event: AgentBeat, state: BurstEntryState, sender: str, now_ms: int
 ) -> None:
-    """Echo the agent's timestamp, so that it keeps this entry's runs going."""
+    """Let the agent's timestamp be echoed, which keeps this entry's runs going."""
     view = record_contact(state, sender, now_ms)
     if view is not None:
         view.record_timestamp(event.sent_at_ms, now_ms)
-        echo_timestamp(state, view, now_ms)
+        state.due_echoes[view.name] = None
 
 
-def echo_timestamp(state: BurstEntryState, view: AgentView, now_ms: int) -> None:
-    """Send an agent's latest timestamp back to it."""
-    view.last_echo_ms = now_ms
-    state.effects.append(Send(view.name, EntryBeat(view.agent_timestamp_ms)))
+def send_due_echoes(state: BurstEntryState, now_ms: int) -> None:
+    """Send agents their latest timestamps back, with the orders that are wanted.
+
+    This is done at the end of a pass: one of its events may have ended a job.
+    """
+    due_echoes, state.due_echoes = state.due_echoes, {}
+    for name in due_echoes:
+        view = state.agents.get(name)
+        if view is None or not view.linked:
+            continue
+        view.last_echo_ms = now_ms
+        beat = EntryBeat(view.agent_timestamp_ms, state.wanted_orders(view))
+        state.effects.append(Send(view.name, beat))
 
 
 @handle_entry_event.register(HeldRuns)
--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -224,6 +224,9 @@
     order = state.next_order
     state.next_order += 1
     step = job.step
+    if not view.runs:
+        # The order permits its runs for as long as an echo would, but no others.
+        view.last_echo_ms = now_ms
     for task in tasks:
         task.attempt += 1
         job.attempt = max(job.attempt, task.attempt)
@@ -232,7 +235,6 @@
         view.runs[job.run_ref(task)] = PlacedRun(job, task, order)
     view.reserve(order, step.need.times(len(tasks)))
     view.health.record_sent()
-    view.last_echo_ms = now_ms
     view.last_order_sent_ms = now_ms
     timestamp_age_ms = now_ms - view.timestamp_received_ms
     expires_ms = view.agent_timestamp_ms + timestamp_age_ms + timing.ORDER_TTL_MS
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -201,7 +201,7 @@
         self.agent_timestamp_ms = 0
         self.timestamp_received_ms = 0
         self.last_heard_ms = 0
-        # When the latest timestamp was last echoed, in a heartbeat or by an order.
+        # When its timestamp was last echoed, or its only runs were ordered.
         self.last_echo_ms = 0
         self.last_order_sent_ms = 0
         self.runs: dict[RunRef, PlacedRun] = {}
@@ -283,6 +283,8 @@
         self.random = random
         self.effects: list[BurstEffect] = []
         self.counters: Counter[str] = Counter()
+        # Names of the agents whose timestamp is echoed at the end of the pass.
+        self.due_echoes: dict[str, None] = {}
         self.config_relay = ConfigRelay(STORE_READ_MS, max_unasked_bytes=None)
         self.configuration = NO_CONFIGURATION
         self.route_table = RouteTable(())
@@ -307,6 +309,18 @@
         # True once the process is about to exit: no job is admitted any more.
         self.exiting = False
 
+    def wanted_orders(self, view: AgentView) -> tuple[int, ...]:
+        """Return the numbers of the orders to an agent whose runs may go on."""
+        return tuple(
+            sorted(
+                {
+                    placed.order
+                    for placed in view.runs.values()
+                    if self.is_active(placed.job)
+                }
+            )
+        )
+
     def remember_job(self, job: ActiveJob) -> None:
         """Keep what matters of an ended job, in case it is submitted again."""
         self.ended_jobs[job.job.job_id] = EndedJob(job.attempt, job.may_have_run)
--- a/src/sardineferry/decision/burst/timing.py
+++ b/src/sardineferry/decision/burst/timing.py
@@ -7,9 +7,9 @@
     SILENCE_LIMIT_MS + tick + LEASE_MS / slowest clock + kill < RESUBMIT_DELAY_MS
            400       +  20  +      780 / 0.98          +  50  =  1,266
 
-An agent stops the runs of an entry from which it has had no new echo or order for
-``SILENCE_LIMIT_MS``. If the agent is lost as well, the worker ends its runs when
-their lease expires.
+An agent stops a run that its entry has neither ordered nor named as wanted, in an echo
+of a timestamp, for ``SILENCE_LIMIT_MS``. If the agent is lost as well, the worker ends
+its runs when their lease expires.
 """
 
 from __future__ import annotations
--- a/src/sardineferry/messages/burst.py
+++ b/src/sardineferry/messages/burst.py
@@ -182,9 +182,15 @@
 
 
 class EntryBeat(NamedTuple):
-    """Entry to agent: a heartbeat that echoes the agent's newest timestamp."""
+    """Entry to agent: a heartbeat that echoes the agent's newest timestamp.
+
+    ``wanted_orders`` are the numbers of the entry's orders whose runs may go on. The
+    agent stops the entry's other runs, so that none goes on because a ``StopRuns``
+    was lost with its link.
+    """
 
     echo_ms: int
+    wanted_orders: tuple[int, ...]
 
 
 class StartRuns(NamedTuple):
@@ -205,7 +211,10 @@
 
 
 class StopRuns(NamedTuple):
-    """Entry to agent: stop these runs and report their ends."""
+    """Entry to agent: stop these runs and report their ends.
+
+    It only saves time: the next ``EntryBeat`` has the same effect.
+    """
 
     runs: tuple[RunRef, ...]
 
--- a/tests/decision/burst/test_agent.py
+++ b/tests/decision/burst/test_agent.py
@@ -282,7 +282,7 @@
     effects: list[object] = []
     for _ in range(20):
         effects.extend(agent.tick(100))
-        agent.handle(EntryBeat(agent.now_ms - 50))
+        agent.handle(EntryBeat(agent.now_ms - 50, (1,)))
     assert sent(effects, StopRun) == []
 
 
@@ -294,14 +294,14 @@
     earlier.
     """
     agent.tick()
-    agent.handle(EntryBeat(agent.now_ms))
+    agent.handle(EntryBeat(agent.now_ms, (1,)))
     agent.now_ms += 20
     start_run(agent)
     stops: list[StopRun] = []
     for _ in range(40):
         effects = agent.tick(20)
         for heartbeat in sent(effects, AgentBeat):
-            agent.handle(EntryBeat(heartbeat.sent_at_ms))
+            agent.handle(EntryBeat(heartbeat.sent_at_ms, (1,)))
         effects.extend(agent.hold(present=(ListedRun(RUN, 99),)))
         stops.extend(sent(effects, StopRun))
     assert stops == []
@@ -311,7 +311,7 @@
     start_run(agent)
     timestamp_ms = agent.now_ms
     agent.now_ms += 600
-    agent.handle(EntryBeat(timestamp_ms))
+    agent.handle(EntryBeat(timestamp_ms, (1,)))
     assert [stop.run for stop in sent(agent.tick(), StopRun)] == [RUN]
 
 
@@ -392,7 +392,7 @@
     effects: list[object] = []
     for _ in range(200):
         effects.extend(agent.tick(10))
-        agent.handle(EntryBeat(agent.now_ms))
+        agent.handle(EntryBeat(agent.now_ms, (1,)))
         if agent.state.hold_pending:
             effects.extend(agent.hold(answered=False))
     ends = sent(effects, RunEnded)
@@ -423,7 +423,7 @@
     agent.handle(Drain("signal"))
     for _ in range(10):
         assert sent(agent.tick(100), Exit) == []
-        agent.handle(EntryBeat(agent.now_ms))
+        agent.handle(EntryBeat(agent.now_ms, (1,)))
     agent.hold(ends=(ListedEnd(1, RUN, "done"),))
     agent.hold()
     assert sent(agent.tick(200), Exit) == [Exit("drained")]
@@ -434,7 +434,7 @@
     agent.handle(Drain("signal"))
     for _ in range(51):
         agent.tick(100)
-        agent.handle(EntryBeat(agent.now_ms))
+        agent.handle(EntryBeat(agent.now_ms, (1,)))
         agent.hold(present=(ListedRun(RUN, 1),))
     assert [stop.run for stop in sent(agent.effects, StopRun)] == [RUN]
 
@@ -442,7 +442,7 @@
 def test_stalled_run_is_stopped_and_reported_as_stalled(agent: AgentDriver) -> None:
     start_run(agent)
     agent.now_ms += 600
-    agent.handle(EntryBeat(agent.now_ms))
+    agent.handle(EntryBeat(agent.now_ms, (1,)))
     effects = agent.hold(present=(ListedRun(RUN, 0),))
     assert [stop.run for stop in sent(effects, StopRun)] == [RUN]
     effects = agent.hold(ends=(ListedEnd(1, RUN, "lost"),))
@@ -495,7 +495,7 @@
 
 
 def make_run(run: RunRef) -> Run:
-    return Run(run, "e0", NEED, "spec", 100, 0, True)
+    return Run(run, "e0", 1, NEED, "spec", 100, 1_000_000, True)
 
 
 def test_worker_is_used_once_it_answers_before_its_report(agent: AgentDriver) -> None:
@@ -534,7 +534,7 @@
     timestamps = [agent.now_ms]
     agent.effects.clear()
     for step in range(400):
-        agent.handle(EntryBeat(agent.now_ms))
+        agent.handle(EntryBeat(agent.now_ms, (1,)))
         if runs:
             agent.hold(present=(ListedRun(RUN, 50),))
         # The capacity changes in the first half only, while the entry asks for updates.
@@ -554,7 +554,7 @@
 
 def test_loss_of_an_entry_is_detected_within_a_tick(agent: AgentDriver) -> None:
     start_run(agent)
-    lost_ms = agent.state.entry_views["e"].alive_until_ms
+    lost_ms = agent.state.runs[RUN].permitted_until_ms
     while not sent(agent.effects, StopRun):
         agent.tick(agent.core.tick_interval_ms())
         if agent.now_ms < lost_ms:
--- a/tests/decision/burst/test_entry.py
+++ b/tests/decision/burst/test_entry.py
@@ -433,10 +433,12 @@
 
 def test_heartbeat_is_echoed_with_the_latest_timestamp(entry: EntryDriver) -> None:
     newest = entry.now_ms + 7
-    assert sent(entry.handle(AgentBeat(newest), "a"), EntryBeat) == [EntryBeat(newest)]
+    assert sent(entry.handle(AgentBeat(newest), "a"), EntryBeat) == [
+        EntryBeat(newest, ())
+    ]
     # A heartbeat that arrives out of order does not change the echo.
     out_of_order = sent(entry.handle(AgentBeat(newest - 5), "a"), EntryBeat)
-    assert out_of_order == [EntryBeat(newest)]
+    assert out_of_order == [EntryBeat(newest, ())]
 
 
 @pytest.mark.parametrize(
--- a/tests/loop/test_core_loop.py
+++ b/tests/loop/test_core_loop.py
@@ -111,13 +111,13 @@
         ([Send("a", STOP)], [STOP], {}),
         ([Send("b", STOP)], [], {"b": {"StopRuns": 1}}),
         (
-            [Send("b", STOP), Send("b", EntryBeat(1)), Send("b", EntryBeat(2))],
+            [Send("b", STOP), Send("b", EntryBeat(1, ())), Send("b", EntryBeat(2, ()))],
             [],
             {"b": {"StopRuns": 1, "EntryBeat": 2}},
         ),
         (
-            [Send("b", STOP), Send("a", EntryBeat(1)), Send("c", EntryBeat(2))],
-            [EntryBeat(1)],
+            [Send("b", STOP), Send("a", EntryBeat(1, ())), Send("c", EntryBeat(2, ()))],
+            [EntryBeat(1, ())],
             {"b": {"StopRuns": 1}, "c": {"EntryBeat": 1}},
         ),
     ],
--- a/tests/transport/test_narrow_links.py
+++ b/tests/transport/test_narrow_links.py
@@ -69,7 +69,7 @@
     def handle(self, message: object, link: str) -> None:
         now = now_ms()
         if isinstance(message, AgentBeat):
-            self.links.send(link, [EntryBeat(message.sent_at_ms)])
+            self.links.send(link, [EntryBeat(message.sent_at_ms, ())])
             self.unconfirmed_at_echoes.append(self.unconfirmed_bytes)
         elif isinstance(message, EntryBeat):
             self.echoes += 1
