Extend no lease while a run that may not go on is still running

Cause: a worker has one lease for all its runs. The agent extended it whatever its runs were permitted: for a run whose stop the worker did not answer, for runs of an earlier agent process that it was stopping, and, if the agent was late, for a run whose entry had been lost, before the check that stops it. So two runs were kept apart by stops that were answered and by punctual ticks (34 ms of 1,300 to spare), not by the lease. The class is that of the lost stop: a run went on unless somebody managed to stop it.

Change: before each extension, by a hold or a start, the agent stops runs whose permission has ended. While a stop is not confirmed, or the worker lists an unknown run, holds extend nothing and a start gets the present lease.

--- a/src/sardineferry/decision/burst/agent_runs.py
+++ b/src/sardineferry/decision/burst/agent_runs.py
@@ -35,6 +35,7 @@
     "begin_stop",
     "end_all_runs_as_lost",
     "end_run",
+    "extend_lease",
     "is_live",
     "raise_fencing_token",
     "resend_due_stops",
@@ -145,20 +146,32 @@
 
 
 def send_start(state: BurstAgentState, run: Run, now_ms: int) -> None:
-    """Send the worker a start request with a new lease."""
+    """Send the worker a start request with a lease."""
     run.tries += 1
-    worker = state.worker
-    lease_until_ms = 0
-    worker_id = ""
-    if worker is not None:
-        lease_until_ms = worker.clock_at(now_ms) + timing.LEASE_MS
-        worker_id = worker.report.worker_id
-    state.lease_sent_ms = now_ms
+    extend_lease(state, now_ms)
+    worker_id = state.worker.report.worker_id if state.worker is not None else ""
     state.effects.append(
-        StartRun(run.ref, run.spec, lease_until_ms, state.fencing_token, worker_id)
+        StartRun(
+            run.ref, run.spec, state.lease_until_ms, state.fencing_token, worker_id
+        )
     )
 
 
+def extend_lease(state: BurstAgentState, now_ms: int) -> bool:
+    """Extend the lease of all runs, unless one of them may not go on.
+
+    A worker has one lease for all that it runs. A run that has not been stopped yet
+    because the worker does not answer must at least end with the present lease.
+    """
+    stop_unpermitted_runs(state, now_ms)
+    stopping = any(run.status == "stopping" for run in state.runs.values())
+    if state.worker is None or stopping or state.unknown_runs:
+        return False
+    state.lease_until_ms = state.worker.clock_at(now_ms) + timing.LEASE_MS
+    state.lease_sent_ms = now_ms
+    return True
+
+
 @handle_agent_event.register(StartAnswered)
 def on_start_answered(
     event: StartAnswered, state: BurstAgentState, _sender: str, now_ms: int
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -209,6 +209,8 @@
         # worker answered was sent or, if that is later, when its incarnation was
         # adopted. The worker does not count as silent for LEASE_MS from then on.
         self.lease_sent_ms = 0
+        # The end of that lease on the worker's clock.
+        self.lease_until_ms = 0
         self.worker_answer_ms = 0
         # Whether the free capacity may have changed since the last update, and when
         # the next delayed update is due; None if none is delayed.
--- a/src/sardineferry/decision/burst/agent_worker.py
+++ b/src/sardineferry/decision/burst/agent_worker.py
@@ -130,6 +130,7 @@
     # The incarnation has answered no request yet, but must not count as silent
     # before it has had time to answer.
     state.worker_answer_ms = now_ms
+    state.lease_until_ms = 0
     state.acknowledged = 0
     state.ack_due = False
     state.reconciled = False
@@ -180,15 +181,12 @@
     # A worker that does not answer gets no new lease, so that its runs end when the
     # present one expires.
     silent = now_ms - state.worker_answer_ms > timing.LEASE_MS
-    lease_until_ms = 0
-    if worker is not None and not idle and not silent:
-        lease_until_ms = worker.clock_at(now_ms) + timing.LEASE_MS
-        state.lease_sent_ms = now_ms
+    extended = not idle and not silent and agent_runs.extend_lease(state, now_ms)
     state.hold_pending = True
     state.effects.append(
         HoldWorker(
             0 if idle or not state.reconciled else timing.LEASE_RENEWAL_MS,
-            lease_until_ms,
+            state.lease_until_ms if extended else 0,
             state.acknowledged,
             state.fencing_token,
             worker.report.worker_id if worker is not None else "",
--- a/src/sardineferry/decision/burst/timing.py
+++ b/src/sardineferry/decision/burst/timing.py
@@ -8,8 +8,9 @@
            400       +  20  +      780 / 0.98          +  50  =  1,266
 
 An agent stops a run that its entry has neither ordered nor named as wanted, in an echo
-of a timestamp, for ``SILENCE_LIMIT_MS``. If the agent is lost as well, the worker ends
-its runs when their lease expires.
+of a timestamp, for ``SILENCE_LIMIT_MS``. From then on it extends no lease until the
+worker has stopped the run, so the sum also holds if the agent is late or lost, or its
+stop gets no answer.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/tests/decision/burst/test_leases.py
@@ -0,0 +1,124 @@
+"""Tests that an agent extends no lease for a run that may not go on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from sardineferry.decision.burst import timing
+from sardineferry.decision.burst.worker import HoldWorker
+from sardineferry.decision.burst.worker import ListedEnd
+from sardineferry.decision.burst.worker import ListedRun
+from sardineferry.decision.burst.worker import StartRun
+from sardineferry.decision.burst.worker import StopAnswered
+from sardineferry.decision.burst.worker import StopRun
+from sardineferry.decision.events import LinkDown
+from sardineferry.messages.burst import EntryBeat
+from sardineferry.messages.burst import StartRuns
+from sardineferry.messages.burst import StopRuns
+from tests.decision.burst.drive import LINK
+from tests.decision.burst.drive import NEED
+from tests.decision.burst.drive import AgentDriver
+from tests.decision.burst.drive import ref
+from tests.decision.burst.drive import sent
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+RUN = ref()
+OTHER_LINK = "10.0.0.2:7000"
+OTHER_RUN = ref(job_number=2)
+
+
+def order_of_other_entry(agent: AgentDriver) -> StartRuns:
+    expires_ms = agent.now_ms + timing.ORDER_TTL_MS
+    return StartRuns(1, expires_ms, (OTHER_RUN,), "spec", NEED, 100, True)
+
+
+@pytest.fixture
+def agent() -> AgentDriver:
+    """Return an agent that runs ``RUN`` for one entry and is linked to another."""
+    agent = AgentDriver()
+    agent.link(OTHER_LINK, entry="e2")
+    agent.order(RUN)
+    agent.answer(RUN)
+    return agent
+
+
+def lose_entry(agent: AgentDriver) -> None:
+    agent.handle(LinkDown(LINK))
+    agent.tick(timing.SILENCE_LIMIT_MS + 1)
+
+
+def ask_to_stop(agent: AgentDriver) -> None:
+    agent.handle(StopRuns((RUN,)))
+
+
+def omit_from_beat(agent: AgentDriver) -> None:
+    agent.handle(EntryBeat(agent.now_ms, ()))
+
+
+@pytest.mark.parametrize("begin_stop", [lose_entry, ask_to_stop, omit_from_beat])
+def test_run_that_can_not_be_stopped_gets_no_lease(
+    agent: AgentDriver, begin_stop: Callable[[AgentDriver], None]
+) -> None:
+    begin_stop(agent)
+    assert [stop.run for stop in sent(agent.effects, StopRun)] == [RUN]
+    agent.handle(order_of_other_entry(agent), OTHER_LINK)
+    agent.answer(OTHER_RUN)
+    agent.effects.clear()
+    present = (ListedRun(RUN, 99), ListedRun(OTHER_RUN, 99))
+    for _ in range(20):
+        agent.tick(20)
+        agent.handle(EntryBeat(agent.now_ms, (1,)), OTHER_LINK)
+        agent.handle(StopAnswered(RUN, False, False, agent.now_ms))
+        agent.hold(present=present)
+    holds = sent(agent.effects, HoldWorker)
+    assert len(holds) == 20
+    assert {hold.lease_until_ms for hold in holds} == {0}
+    agent.handle(StopAnswered(RUN, True, False, agent.now_ms))
+    agent.hold(present=present[1:], ends=(ListedEnd(1, RUN, "lost"),))
+    last_hold = sent(agent.effects, HoldWorker)[-1]
+    assert last_hold.lease_until_ms == agent.now_ms + timing.LEASE_MS
+
+
+def test_start_extends_no_lease_of_a_run_that_can_not_be_stopped(
+    agent: AgentDriver,
+) -> None:
+    lease_until_ms = sent(agent.effects, StartRun)[-1].lease_until_ms
+    ask_to_stop(agent)
+    agent.now_ms += 100
+    agent.handle(order_of_other_entry(agent), OTHER_LINK)
+    start = sent(agent.effects, StartRun)[-1]
+    assert (start.run, start.lease_until_ms) == (OTHER_RUN, lease_until_ms)
+
+
+@pytest.mark.parametrize("late_ms", [1, 100, 300, 1_000])
+def test_late_agent_extends_no_lease_of_a_lost_entry(
+    agent: AgentDriver, late_ms: int
+) -> None:
+    """Replays an agent that waits for a processor when its timed action is due."""
+    agent.effects.clear()
+    agent.now_ms += timing.SILENCE_LIMIT_MS + late_ms
+    agent.handle(order_of_other_entry(agent), OTHER_LINK)
+    agent.hold(present=(ListedRun(RUN, 99),))
+    assert sent(agent.effects, StopRun)[0].run == RUN
+    leases = [hold.lease_until_ms for hold in sent(agent.effects, HoldWorker)]
+    leases += [start.lease_until_ms for start in sent(agent.effects, StartRun)]
+    assert max(leases) <= agent.now_ms - late_ms - timing.SILENCE_LIMIT_MS + (
+        timing.LEASE_MS
+    )
+
+
+def test_runs_of_an_earlier_agent_process_get_no_lease() -> None:
+    agent = AgentDriver()
+    agent.effects.clear()
+    agent.hold(present=(ListedRun(RUN, 99),))
+    for _ in range(10):
+        agent.tick(20)
+        agent.handle(StopAnswered(RUN, False, False, agent.now_ms))
+        agent.hold(present=(ListedRun(RUN, 99),))
+    holds = sent(agent.effects, HoldWorker)
+    assert len(holds) == 10
+    assert {hold.lease_until_ms for hold in holds} == {0}
