End a job at its callers' deadlines if their connections stay open

What callers saw: nothing; a task could run twice at the same time.

Cause: a caller without a response submits its job again after its deadline and 1,300 ms, to any entry. The entry never read the deadline that a caller names (Deadline-Ms) and relied on the end of the connection: if that is lost or delayed, as to a caller that is cut off, the run went on to its end and met its successor.

Change: an entry records when each caller gives up. At that time a job that nobody else waits for ends like one whose caller left; if others wait, only that caller is answered, with 502. Jobs that wait for the configuration are refused earlier in any case.

Result: tests/decision/burst/test_entry.py, five new cases; before, the entry ignored the deadline and the run went on. test_formats: five cases of the header.

--- a/src/sardineferry/decision/burst/entry.py
+++ b/src/sardineferry/decision/burst/entry.py
@@ -70,6 +70,7 @@
         if state.started_ms is None:
             state.started_ms = now_ms
         entry_agents.check_agents(state, now_ms)
+        entry_callers.expire_callers(state, now_ms)
         entry_callers.expire_waiting_jobs(state, now_ms)
         state.effects.extend(state.config_relay.continue_transfers(now_ms))
         state.placement_due = True
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -31,6 +31,7 @@
 
 __all__ = [
     "admit_early_jobs",
+    "expire_callers",
     "expire_waiting_jobs",
     "finish_all_jobs",
     "finish_job",
@@ -116,7 +117,7 @@
     active = state.jobs.get(event.job.job_id)
     if active is not None:
         active.tokens.add(event.token)
-        state.job_ids_by_token[event.token] = event.job.job_id
+        record_caller(state, event, arrived_ms)
         state.effects.append(
             LogDecision("job submitted again", {"job": event.job.job_id})
         )
@@ -265,7 +266,7 @@
     max_wait_ms = int(admission.max_start_wait_ms(job.goal_ms, run_ms))
     job.latest_start_ms = arrived_ms + max_wait_ms
     state.jobs[event.job.job_id] = job
-    state.job_ids_by_token[event.token] = event.job.job_id
+    record_caller(state, event, arrived_ms)
     state.queue.append(job)
     state.placement_due = True
     state.counters["jobs_admitted"] += 1
@@ -281,14 +282,48 @@
     state.effects.append(LogDecision("job admitted", fields))
 
 
+def record_caller(state: BurstEntryState, event: SubmitJob, arrived_ms: int) -> None:
+    """Record which job a caller waits for, and how long."""
+    state.job_ids_by_token[event.token] = event.job.job_id
+    if event.deadline_ms:
+        state.deadlines_by_token[event.token] = arrived_ms + event.deadline_ms
+
+
+def forget_caller(state: BurstEntryState, token: int) -> ActiveJob | None:
+    """Remove a caller that waits no longer; return its job, if that is active."""
+    state.deadlines_by_token.pop(token, None)
+    job_id = state.job_ids_by_token.pop(token, None)
+    return state.jobs.get(job_id) if job_id else None
+
+
+def expire_callers(state: BurstEntryState, now_ms: int) -> None:
+    """End the jobs of callers whose deadline has passed, unless others wait for them.
+
+    Such a caller may submit its job again, to any entry, although its connection is
+    still open here: the end of a connection may be lost or arrive late.
+    """
+    expired = [
+        token
+        for token, deadline_ms in state.deadlines_by_token.items()
+        if now_ms > deadline_ms
+    ]
+    for token in expired:
+        job = state.jobs[state.job_ids_by_token[token]]
+        if len(job.tokens) == 1:
+            finish_job(state, job, ReplyKind.NOT_RUN, "deadline of the caller", now_ms)
+        else:
+            forget_caller(state, token)
+            job.tokens.discard(token)
+            state.effects.append(BurstReply(token, ReplyKind.NO_ANSWER))
+
+
 @handle_entry_event.register(CallerLeft)
 def on_caller_left(
     event: CallerLeft, state: BurstEntryState, _sender: str, now_ms: int
 ) -> None:
     """Cancel the job if no other caller waits for it."""
     state.early_jobs.pop(event.token, None)
-    job_id = state.job_ids_by_token.pop(event.token, None)
-    job = state.jobs.get(job_id) if job_id else None
+    job = forget_caller(state, event.token)
     if job is None:
         return
     job.tokens.discard(event.token)
@@ -372,7 +407,7 @@
     if kind is ReplyKind.NOT_RUN:
         retry_ms = admission.retry_after_ms(forecast_start_wait_ms(state, now_ms))
     for token in sorted(job.tokens):
-        state.job_ids_by_token.pop(token, None)
+        forget_caller(state, token)
         state.effects.append(BurstReply(token, kind, reason, retry_ms))
     state.effects.append(ObserveLatency("job", kind.value, now_ms - job.arrived_ms))
     fields: dict[str, object] = {
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -292,6 +292,8 @@
         self.agents: dict[str, AgentView] = {}
         self.jobs: dict[str, ActiveJob] = {}
         self.job_ids_by_token: dict[int, str] = {}
+        # When callers that have a deadline stop waiting, by token.
+        self.deadlines_by_token: dict[int, int] = {}
         # Jobs that came before the configuration, by token.
         self.early_jobs: dict[int, EarlyJob] = {}
         # Jobs with waiting tasks.
--- a/src/sardineferry/decision/burst/requests.py
+++ b/src/sardineferry/decision/burst/requests.py
@@ -50,12 +50,17 @@
 
 
 class SubmitJob(NamedTuple):
-    """A caller submits a job; the token identifies its request."""
+    """A caller submits a job; the token identifies its request.
+
+    The caller stops waiting ``deadline_ms`` after it has sent the request; 0 means
+    that it has no deadline.
+    """
 
     token: int
     host: str
     path: str
     job: BurstJob
+    deadline_ms: int = 0
 
 
 class CallerLeft(NamedTuple):
--- a/src/sardineferry/platform/callers.py
+++ b/src/sardineferry/platform/callers.py
@@ -27,6 +27,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from sardineferry.mailbox import Mailbox
     from sardineferry.pending_requests import PendingRequests
@@ -103,6 +104,12 @@
     )
 
 
+def parse_deadline_ms(headers: Mapping[str, str]) -> int:
+    """Return how long a caller waits for its answer, or 0 if it does not say."""
+    value = headers.get("deadline-ms", "")
+    return int(value) if value.isdecimal() else 0
+
+
 def resources_per_task(step: StepBody) -> Resources:
     """Return the resources that one task of the step needs."""
     return Resources(step.cpu, step.memory_mb, step.accelerators)
@@ -173,7 +180,10 @@
             exchange.answer(json_response(400, {"error": parsed.failure()}))
             return
         job = parsed.unwrap()
-        self.send_to_core(exchange, lambda token: SubmitJob(token, host, path, job))
+        deadline_ms = parse_deadline_ms(exchange.request.headers)
+        self.send_to_core(
+            exchange, lambda token: SubmitJob(token, host, path, job, deadline_ms)
+        )
 
     def send_to_core(
         self,
--- a/tests/decision/burst/test_entry.py
+++ b/tests/decision/burst/test_entry.py
@@ -742,3 +742,38 @@
         entry.handle(WorkerRoom(entry.now_ms, TOTAL, True, 0, *learned), name)
     entry.handle(submit(1, job(tasks=2, estimate_ms=2_000)))
     assert {name for name, _ in entry.orders()} == {"b"}
+
+
+@pytest.mark.parametrize(
+    ("deadlines_ms", "ends_ms"),
+    [((500,), 500), ((500, 900), 900), ((900, 500), 900), ((500, 0), None)],
+    ids=["one", "later", "earlier", "none"],
+)
+def test_run_ends_with_the_deadlines_of_its_callers_if_they_do_not_disconnect(
+    deadlines_ms: tuple[int, ...], ends_ms: int | None
+) -> None:
+    """Replays callers that are cut off: their connections stay open."""
+    entry = EntryDriver(agents="a")
+    for token, deadline_ms in enumerate(deadlines_ms, start=1):
+        entry.handle(submit(token, job())._replace(deadline_ms=deadline_ms))
+    stopped_ms = None
+    for elapsed_ms in range(100, 2_000, 100):
+        if sent(entry.advance_time(100, "a"), StopRuns):
+            assert stopped_ms is None
+            stopped_ms = elapsed_ms
+    assert stopped_ms == (None if ends_ms is None else ends_ms + 100)
+    limited = [token for token, limit in enumerate(deadlines_ms, start=1) if limit]
+    replies = sent(entry.effects, BurstReply)
+    assert sorted(reply.token for reply in replies) == limited
+    assert {reply.kind for reply in replies} == {KINDS.NO_ANSWER}
+
+
+def test_waiting_job_is_refused_at_the_deadline_of_its_caller() -> None:
+    entry = EntryDriver(agents="")
+    entry.state.started_ms = entry.now_ms
+    entry.handle(submit(1, job(estimate_ms=4_000))._replace(deadline_ms=500))
+    entry.tick(500)
+    assert reply_kinds(entry) == []
+    entry.tick(1)
+    assert reply_kinds(entry) == [KINDS.NOT_RUN]
+    assert entry.state.deadlines_by_token == {}
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -12,6 +12,7 @@
 
 from sardineferry.decision.burst.worker import StartAnswer
 from sardineferry.messages.burst import Resources
+from sardineferry.platform.callers import parse_deadline_ms
 from sardineferry.platform.callers import parse_job
 from sardineferry.platform.configuration import decode_configuration
 from sardineferry.platform.heartbeats import parse_heartbeat
@@ -120,6 +121,22 @@
     assert not is_successful(parse_job(JOB_ID, body))
 
 
+@pytest.mark.parametrize(
+    ("headers", "deadline_ms"),
+    [
+        ({"deadline-ms": "2553"}, 2_553),
+        ({}, 0),
+        ({"deadline-ms": ""}, 0),
+        ({"deadline-ms": "-1"}, 0),
+        ({"deadline-ms": "soon"}, 0),
+    ],
+)
+def test_deadline_of_a_caller_is_decoded(
+    headers: dict[str, str], deadline_ms: int
+) -> None:
+    assert parse_deadline_ms(headers) == deadline_ms
+
+
 def test_heartbeat_is_decoded() -> None:
     seen = parse_heartbeat("i-1", json.dumps(HEARTBEAT).encode()).unwrap()
     assert seen.total == Resources(16_000, 32_768, 0)
