Test that a stop that was not sent is logged and counted

The fleet of processes replays it: an agent is killed while it runs tasks, and the caller leaves once the entry has seen the link close.

--- a/tests/process/test_burst_processes.py
+++ b/tests/process/test_burst_processes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import http.client
+import json
 import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -344,6 +345,33 @@
     fleet.wait_until(are_all_logged)
 
 
+def test_log_and_metrics_show_a_stop_that_was_not_sent(fleet: DeployedFleet) -> None:
+    caller = http.client.HTTPConnection(fleet.entry_address(0), timeout=30)
+    body = json.dumps(make_burst_job(24, 20_000))
+    caller.request("POST", PATH_PREFIX + make_job_id(1), body, HOST_HEADER)
+    for index in range(3):
+        wait_for_start_at_worker(fleet, index)
+    fleet.kill("agent-0")
+    fleet.wait_until(lambda: "agent link lost" in fleet.read_log("entry-0"))
+    caller.close()
+    fleet.wait_until(lambda: "messages dropped" in fleet.read_log("entry-0"))
+    lines = [json.loads(line) for line in fleet.read_log("entry-0").splitlines()]
+    stops = {
+        line["agent"]: line["linked"]
+        for line in lines
+        if line["event"] == "runs stop ordered"
+    }
+    assert stops == {"agent-0": False, "agent-1": True, "agent-2": True}
+    dropped = [
+        (line["link"], line["messages"])
+        for line in lines
+        if line["event"] == "messages dropped"
+    ]
+    assert dropped == [("agent-0", {"StopRuns": 1})]
+    metrics = fetch_text(f"{fleet.entry_ips[0]}:{fleet.metrics_port}", "/metrics")
+    assert "sardineferry_messages_dropped_total 1.0" in metrics
+
+
 def test_metrics_are_served_in_prometheus_format(fleet: DeployedFleet) -> None:
     submit_burst_job(fleet.entry_address(0), make_job_id(1), make_burst_job(1, 20))
     address = f"{fleet.entry_ips[0]}:{fleet.metrics_port}"
