Simulate resets, pauses and kills of burst processes, and callers that return

Workers end runs whose leases lapse and keep to fencing tokens and attempts; their clocks may be slow and a kill may take as long as the platform allows.

--- a/bench/virtual/burst_load.py
+++ b/bench/virtual/burst_load.py
@@ -14,21 +14,26 @@
 import random
 import statistics
 from collections import Counter
+from collections import deque
 from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import NamedTuple
+from typing import Protocol
 
 import cyclopts
 import msgspec
 from returns.result import Result
 from returns.result import Success
 
+from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.agent import BurstAgentCore
 from sardineferry.decision.burst.agent import BurstAgentState
 from sardineferry.decision.burst.configuration import Configuration
 from sardineferry.decision.burst.configuration import EdgeLimits
 from sardineferry.decision.burst.configuration import Route
+from sardineferry.decision.burst.effects import DropLink
+from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.entry import BurstEntryCore
 from sardineferry.decision.burst.entry import BurstEntryState
 from sardineferry.decision.burst.link_selection import rank_entries
@@ -37,6 +42,7 @@
 from sardineferry.decision.burst.requests import BurstJob
 from sardineferry.decision.burst.requests import BurstReply
 from sardineferry.decision.burst.requests import BurstStep
+from sardineferry.decision.burst.requests import CallerLeft
 from sardineferry.decision.burst.requests import ConfigurationRead
 from sardineferry.decision.burst.requests import ReplyKind
 from sardineferry.decision.burst.requests import SubmitJob
@@ -50,7 +56,9 @@
 from sardineferry.decision.burst.worker import StopAnswered
 from sardineferry.decision.burst.worker import StopRun
 from sardineferry.decision.burst.worker import WorkerReported
+from sardineferry.decision.common_effects import Connect
 from sardineferry.decision.common_effects import Send
+from sardineferry.decision.common_events import LinkDown
 from sardineferry.decision.common_events import LinkUp
 from sardineferry.messages.burst import EntryEndpoint
 from sardineferry.messages.burst import Resources
@@ -63,14 +71,23 @@
 
 __all__ = [
     "DEFAULT_HETEROGENEITY",
+    "EXACT_WORKERS",
     "LOADS",
+    "MAX_REDIAL_DELAY_MS",
+    "SLOWEST_WORKERS",
+    "AgentNode",
     "Burst",
     "BurstSimulation",
     "Choke",
     "DeploymentSize",
+    "EntryNode",
+    "Fault",
     "Heterogeneity",
     "JobKind",
+    "LinkBreak",
     "LoadResult",
+    "Node",
+    "WorkerLimits",
     "find_simultaneous_runs",
     "run_load",
     "run_simulation",
@@ -89,6 +106,18 @@
 # after that.
 MAX_LATE_GOALS = 3
 DRAIN_GRACE_MS = 6_000
+# An agent that learns of a break dials again within this time.
+MAX_REDIAL_DELAY_MS = 120
+# After a pause, a process applies at most this many events in one pass.
+MAX_EVENTS_PER_PASS = 256
+# Time that such a pass takes.
+PASS_MS = 5
+# Delay before a killed entry or a paused agent is tried again.
+RETRY_DELAY_MS = 10
+# Tokens from this one on are of jobs that were submitted again.
+FIRST_TOKEN_OF_RETURNS = 1_000_000_000
+# The first report of a worker to a restarted agent may take this long.
+MAX_REPORT_DELAY_MS = 1_000
 
 
 class JobKind(NamedTuple):
@@ -181,6 +210,41 @@
     from_entries_ms: int
 
 
+class Fault(Protocol):
+    """A fault at a time that counts from the start of the load."""
+
+    @property
+    def start_ms(self) -> int:
+        """When the fault happens."""
+
+    def apply(self, simulation: BurstSimulation) -> None:
+        """Let the fault happen."""
+
+
+class LinkBreak(NamedTuple):
+    """When the ends of a broken link learn of it, and when the agent dials again.
+
+    The delays of the ends count from the break; that of the new link counts from when
+    the agent learns of the break.
+    """
+
+    agent_delay_ms: float
+    entry_delay_ms: float
+    redial_delay_ms: float
+
+
+class WorkerLimits(NamedTuple):
+    """How slow the clocks of workers are, and how long they take to end a run."""
+
+    clock_slowness: float
+    kill_ms: int
+
+
+EXACT_WORKERS = WorkerLimits(0.0, 0)
+# The limits that the platform guarantees.
+SLOWEST_WORKERS = WorkerLimits(timing.MAX_CLOCK_SLOWNESS, timing.MAX_KILL_MS)
+
+
 class LoadResult(NamedTuple):
     """The result of a load: shares of the jobs by kind, and their worth.
 
@@ -223,27 +287,117 @@
         self.now_ms = end_ms
 
 
+class WaitingEvent(NamedTuple):
+    """An event of a paused process; those of one channel keep their order."""
+
+    event: object
+    sender: str
+    channel: str
+
+
 class Node:
     """A process that runs a core."""
 
     def __init__(
-        self, simulation: BurstSimulation, core: BurstEntryCore | BurstAgentCore
+        self,
+        simulation: BurstSimulation,
+        name: str,
+        core: BurstEntryCore | BurstAgentCore,
     ) -> None:
         """Start the ticks of the core."""
         self.simulation = simulation
+        self.name = name
         self.core = core
         self.next_tick_ms = 0.0
+        self.is_killed = False
+        self.incarnation = 1
+        self.paused_until_ms = 0.0
+        self.waiting_events: deque[WaitingEvent] = deque()
         self.schedule_tick()
 
     def now_ms(self) -> int:
         """Return the virtual time in whole milliseconds."""
         return int(self.simulation.clock.now_ms)
 
-    def handle(self, event: object, sender: str) -> None:
-        """Handle an event and carry out its effects."""
+    def handle(self, event: object, sender: str, channel: str = "") -> None:
+        """Handle an event and carry out its effects, or keep it during a pause.
+
+        ``channel`` names the connection on which the event came, by default the link.
+        """
+        if self.is_killed:
+            return
+        if self.is_paused() or self.waiting_events:
+            waiting = WaitingEvent(event, sender, channel or sender)
+            self.waiting_events.append(waiting)
+            return
         self.perform(self.core.handle(event, sender, self.now_ms()))
         self.conclude()
 
+    def is_paused(self) -> bool:
+        """Return whether the process handles nothing at this time."""
+        return self.simulation.clock.now_ms < self.paused_until_ms
+
+    def pause(self, duration_ms: float, in_pass: bool) -> None:
+        """Pause the process, between two passes or in one, after its tick.
+
+        After a pause in a pass, no tick comes before the waiting events.
+        """
+        if self.is_killed:
+            return
+        clock = self.simulation.clock
+        if in_pass and not self.is_paused():
+            self.perform(self.core.tick(self.now_ms()))
+            self.next_tick_ms = clock.now_ms + duration_ms + PASS_MS
+            clock.run_after(
+                duration_ms + PASS_MS, partial(self.tick, self.next_tick_ms)
+            )
+        self.paused_until_ms = max(self.paused_until_ms, clock.now_ms + duration_ms)
+        clock.run_after(duration_ms, partial(self.resume, self.incarnation))
+
+    def resume(self, incarnation: int) -> None:
+        """End a pause; the connections are read in a random order."""
+        if self.is_paused() or self.incarnation != incarnation or self.is_killed:
+            return
+        by_channel: dict[str, deque[WaitingEvent]] = {}
+        for waiting in self.waiting_events:
+            by_channel.setdefault(waiting.channel, deque()).append(waiting)
+        channels = [waiting.channel for waiting in self.waiting_events]
+        self.simulation.fault_random.shuffle(channels)
+        self.waiting_events = deque(
+            by_channel[channel].popleft() for channel in channels
+        )
+        self.run_pass(incarnation)
+
+    def run_pass(self, incarnation: int) -> None:
+        """Tick if that is due, apply waiting events, and conclude."""
+        if self.is_paused() or self.incarnation != incarnation or self.is_killed:
+            return
+        if self.next_tick_ms <= self.simulation.clock.now_ms:
+            self.perform(self.core.tick(self.now_ms()))
+        for _ in range(min(MAX_EVENTS_PER_PASS, len(self.waiting_events))):
+            waiting = self.waiting_events.popleft()
+            effects = self.core.handle(waiting.event, waiting.sender, self.now_ms())
+            self.perform(effects)
+        self.conclude()
+        if self.waiting_events:
+            self.simulation.clock.run_after(
+                PASS_MS, partial(self.run_pass, incarnation)
+            )
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.is_killed = True
+        self.incarnation += 1
+        self.waiting_events.clear()
+        self.next_tick_ms = 0.0
+
+    def start_again(self, core: BurstEntryCore | BurstAgentCore) -> None:
+        """Start the process again, with a new core."""
+        self.is_killed = False
+        self.core = core
+        self.paused_until_ms = 0.0
+        self.schedule_tick()
+
     def conclude(self) -> None:
         """End a pass of the event loop and schedule the next tick."""
         self.perform(self.core.conclude(self.now_ms()))
@@ -263,7 +417,7 @@
 
     def tick(self, due_ms: float) -> None:
         """Tick the core, unless a sooner tick has replaced this one."""
-        if due_ms != self.next_tick_ms:
+        if due_ms != self.next_tick_ms or self.is_paused() or self.is_killed:
             return
         self.next_tick_ms = 0.0
         self.perform(self.core.tick(self.now_ms()))
@@ -302,7 +456,24 @@
             random.Random(seed),
         )
         self.endpoint = endpoint
-        super().__init__(simulation, BurstEntryCore(state))
+        super().__init__(simulation, endpoint.address, BurstEntryCore(state))
+
+    def restart(self, incarnation: int) -> None:
+        """Start a killed entry again, unless that was done before."""
+        if self.incarnation != incarnation or not self.is_killed:
+            return
+        self.endpoint = self.endpoint._replace(incarnation=f"i{self.incarnation}")
+        state = BurstEntryState(
+            self.endpoint.name,
+            self.endpoint.incarnation,
+            self.endpoint.data_centre,
+            DRAIN_GRACE_MS,
+            decode_configuration,
+            random.Random(self.simulation.fault_random.random()),
+        )
+        self.start_again(BurstEntryCore(state))
+        self.handle(ConfigurationRead(b"1"), "")
+        self.handle(EntriesRead(self.simulation.endpoints), "")
 
     def send(self, effect: Send) -> None:
         """Send a message to an agent."""
@@ -311,9 +482,14 @@
         self.simulation.deliver(self, agent, effect.message, address)
 
     def perform_effect(self, effect: object) -> None:
-        """Record replies to callers, and ignore other effects."""
+        """Record replies to callers, and ignore most other effects."""
         if isinstance(effect, BurstReply):
             self.simulation.record_reply(effect)
+        elif isinstance(effect, DropLink):
+            agent = self.simulation.agents[effect.name]
+            self.simulation.drop_link(agent, self)
+        elif isinstance(effect, LogDecision):
+            self.simulation.record_decision(self, effect.event, effect.fields)
 
 
 class AgentNode(Node):
@@ -329,17 +505,63 @@
     ) -> None:
         """Create an agent without links, and its worker."""
         state = BurstAgentState(name, "i", data_centre, "desk", 1, DRAIN_GRACE_MS)
-        self.name = name
         self.data_centre = data_centre
         self.speed = speed
         self.total = Resources(cpu, 1_000_000, 0)
         self.run_start_ms: dict[RunRef, float] = {}
+        # On the worker's clock.
+        self.lease_until_ms: dict[RunRef, int] = {}
+        self.is_lease_check_due = False
+        # The highest attempt of each task that has ended or was stopped.
+        self.ended_attempts: dict[str, int] = {}
+        self.fencing_token = 0
         # Ended runs, each with its start and end.
         self.past_runs: list[tuple[RunRef, float, float]] = []
         self.listed_ends: list[ListedEnd] = []
         self.pending_hold: HoldWorker | None = None
         self.hold_count = 0
-        super().__init__(simulation, BurstAgentCore(state))
+        super().__init__(simulation, name, BurstAgentCore(state))
+
+    def kill(self) -> None:
+        """End the agent's process; the worker goes on."""
+        super().kill()
+        self.pending_hold = None
+
+    def restart(self, incarnation: int) -> None:
+        """Start a killed agent again, unless that was done before.
+
+        The first report of its worker takes a while.
+        """
+        if self.incarnation != incarnation or not self.is_killed:
+            return
+        simulation = self.simulation
+        state = BurstAgentState(
+            self.name,
+            f"i{self.incarnation}",
+            self.data_centre,
+            "desk",
+            self.incarnation,
+            DRAIN_GRACE_MS,
+        )
+        self.start_again(BurstAgentCore(state))
+        delay_ms = simulation.fault_random.uniform(0, MAX_REPORT_DELAY_MS)
+        simulation.clock.run_after(delay_ms, self.report_worker)
+        for address in simulation.initial_addresses(self):
+            simulation.open_link(self, simulation.entries[address], self.incarnation)
+
+    def report_worker(self) -> None:
+        """Report the worker to the agent."""
+        clock_ms = self.worker_clock_ms()
+        label = f"k{self.speed}"
+        report = WorkerReported(
+            "w", 1, 1, "desk", self.total, (label,), False, clock_ms
+        )
+        self.handle(report, "")
+
+    def worker_clock_ms(self) -> int:
+        """Return the time on the worker's clock, which may be slow."""
+        slowness = self.simulation.worker_limits.clock_slowness
+        return int(self.simulation.clock.now_ms * (1 - slowness))
 
     def send(self, effect: Send) -> None:
         """Send a message to an entry."""
@@ -347,7 +569,7 @@
         self.simulation.deliver(self, entry, effect.message, self.name)
 
     def perform_effect(self, effect: object) -> None:
-        """Pass orders to the worker, and ignore other effects."""
+        """Pass orders to the worker, and ignore most other effects."""
         if isinstance(effect, StartRun):
             self.simulation.clock.run_after(
                 WORKER_ROUND_TRIP_MS / 2, lambda: self.start_run(effect)
@@ -360,35 +582,112 @@
             self.simulation.clock.run_after(
                 WORKER_ROUND_TRIP_MS / 2, lambda: self.open_hold(effect)
             )
+        elif isinstance(effect, DropLink):
+            self.simulation.drop_link(self, self.simulation.entries[effect.name])
+        elif isinstance(effect, Connect):
+            entry = self.simulation.entries[effect.address]
+            self.simulation.clock.run_after(
+                1.0, partial(self.simulation.open_link, self, entry, self.incarnation)
+            )
+        elif isinstance(effect, LogDecision):
+            self.simulation.record_decision(self, effect.event, effect.fields)
 
     def answer_agent(self, event: object) -> None:
-        """Send an answer of the worker to the agent."""
+        """Send an answer of the worker to the agent process that asked."""
+        incarnation = self.incarnation
         self.simulation.clock.run_after(
-            WORKER_ROUND_TRIP_MS / 2, lambda: self.handle(event, "")
+            WORKER_ROUND_TRIP_MS / 2,
+            lambda: self.handle(event, "") if self.incarnation == incarnation else None,
         )
 
+    def is_fenced(self, fencing_token: int) -> bool:
+        """Return whether the worker has seen a higher token; record this one."""
+        self.fencing_token = max(self.fencing_token, fencing_token)
+        return fencing_token < self.fencing_token
+
     def start_run(self, order: StartRun) -> None:
-        """Start a run, which lasts its true work divided by the worker's speed."""
+        """Start a run unless it is refused, and answer."""
         sent_ms = self.now_ms()
-        if order.run not in self.run_start_ms:
-            work_ms = self.simulation.true_work_ms(order.run)
-            self.run_start_ms[order.run] = self.simulation.clock.now_ms
-            self.simulation.clock.run_after(
-                work_ms / self.speed, lambda: self.end_run(order.run, "done")
-            )
-        answer = StartAnswered(order.run, StartAnswer.STARTED, sent_ms, sent_ms)
-        self.answer_agent(answer)
+        answer = self.try_start(order)
+        answered = StartAnswered(order.run, answer, sent_ms, self.worker_clock_ms())
+        self.answer_agent(answered)
+
+    def try_start(self, order: StartRun) -> StartAnswer:
+        """Start a run, which lasts its true work divided by the worker's speed."""
+        if self.is_fenced(order.fencing_token):
+            return StartAnswer.FENCED
+        if order.run in self.run_start_ms:
+            self.extend_leases(order.lease_until_ms)
+            return StartAnswer.STARTED
+        if order.run.attempt <= self.ended_attempts.get(order.run.task, 0):
+            return StartAnswer.SUPERSEDED
+        if self.worker_clock_ms() > order.lease_until_ms:
+            return StartAnswer.LATE
+        work_ms = self.simulation.true_work_ms(order.run)
+        self.run_start_ms[order.run] = self.simulation.clock.now_ms
+        self.lease_until_ms[order.run] = order.lease_until_ms
+        self.extend_leases(order.lease_until_ms)
+        self.simulation.clock.run_after(
+            work_ms / self.speed, lambda: self.end_run(order.run, "done")
+        )
+        self.schedule_lease_check()
+        return StartAnswer.STARTED
+
+    def extend_leases(self, lease_until_ms: int) -> None:
+        """Extend the leases that have not lapsed; 0 leaves them as they are."""
+        for run, present_ms in self.lease_until_ms.items():
+            self.lease_until_ms[run] = max(present_ms, lease_until_ms)
+
+    def schedule_lease_check(self) -> None:
+        """Schedule a check at the first end of a lease, unless one is due."""
+        if self.is_lease_check_due or not self.lease_until_ms:
+            return
+        self.is_lease_check_due = True
+        left_ms = min(self.lease_until_ms.values()) - self.worker_clock_ms()
+        slowness = self.simulation.worker_limits.clock_slowness
+        delay_ms = max(0, left_ms) / (1 - slowness) + 1
+        self.simulation.clock.run_after(delay_ms, self.check_leases)
+
+    def check_leases(self) -> None:
+        """Begin to end the runs whose leases have lapsed."""
+        self.is_lease_check_due = False
+        for run, until_ms in list(self.lease_until_ms.items()):
+            if self.worker_clock_ms() > until_ms:
+                del self.lease_until_ms[run]
+                self.simulation.record_decision(
+                    self, "lease lapsed", {"task": run.task, "attempt": run.attempt}
+                )
+                self.end_run_soon(run)
+        self.schedule_lease_check()
+
+    def end_run_soon(self, run: RunRef) -> None:
+        """End a run as lost, which takes the worker a while."""
+        kill_ms = self.simulation.worker_limits.kill_ms
+        if kill_ms:
+            self.simulation.clock.run_after(kill_ms, partial(self.end_run, run, "lost"))
+        else:
+            self.end_run(run, "lost")
 
     def stop_run(self, order: StopRun) -> None:
         """Stop a run, which ends as lost."""
-        self.answer_agent(StopAnswered(order.run, True, False, self.now_ms()))
-        self.end_run(order.run, "lost")
+        fenced = self.is_fenced(order.fencing_token)
+        self.answer_agent(StopAnswered(order.run, True, fenced, self.now_ms()))
+        if not fenced:
+            self.record_ended_attempt(order.run)
+            self.end_run_soon(order.run)
+
+    def record_ended_attempt(self, run: RunRef) -> None:
+        """Record that an attempt must not be started any more."""
+        ended_attempt = self.ended_attempts.get(run.task, 0)
+        self.ended_attempts[run.task] = max(ended_attempt, run.attempt)
 
     def end_run(self, run: RunRef, how: str) -> None:
         """End a run and list its end."""
         start_ms = self.run_start_ms.pop(run, None)
         if start_ms is None:
             return
+        self.lease_until_ms.pop(run, None)
+        self.record_ended_attempt(run)
         self.past_runs.append((run, start_ms, self.simulation.clock.now_ms))
         number = self.simulation.next_end_number(self.name)
         self.listed_ends.append(ListedEnd(number, run, how))
@@ -396,6 +695,10 @@
 
     def open_hold(self, order: HoldWorker) -> None:
         """Answer a hold at once if ends are listed, else at the next end or timeout."""
+        if self.is_fenced(order.fencing_token):
+            self.answer_agent(HoldAnswered(self.now_ms(), answered=True, fenced=True))
+            return
+        self.extend_leases(order.lease_until_ms)
         self.listed_ends = [
             end for end in self.listed_ends if end.number > order.acknowledged
         ]
@@ -429,7 +732,7 @@
             HoldAnswered(
                 self.now_ms(),
                 answered=True,
-                clock_ms=self.now_ms(),
+                clock_ms=self.worker_clock_ms(),
                 born_ms=1,
                 present=tuple(
                     ListedRun(run, self.progress_percent(run))
@@ -460,17 +763,48 @@
     worth: float
 
 
+class Caller(NamedTuple):
+    """A caller that waits at an entry; ``request`` is the token of its first try."""
+
+    request: int
+    path: str
+    job: BurstJob
+    entry: EntryNode
+
+
+class LinkState:
+    """The link between an agent and an entry; a new connection has a new number."""
+
+    __slots__ = ("agent_told", "entry_number", "entry_told", "is_open", "number")
+
+    def __init__(self) -> None:
+        """Create it without a connection."""
+        self.number = 0
+        self.is_open = False
+        # The connection from which the entry last got a message.
+        self.entry_number = 0
+        # The last connections of which each end knows that it is broken.
+        self.agent_told = 0
+        self.entry_told = 0
+
+
 class BurstSimulation:
     """A deployment of entries and agents, with simulated workers and callers."""
 
     def __init__(
-        self, size: DeploymentSize, heterogeneity: Heterogeneity, seed: int
+        self,
+        size: DeploymentSize,
+        heterogeneity: Heterogeneity,
+        seed: int,
+        worker_limits: WorkerLimits = EXACT_WORKERS,
     ) -> None:
         """Create the entries and agents and schedule their links."""
         self.clock = VirtualClock()
         self.size = size
         self.heterogeneity = heterogeneity
+        self.worker_limits = worker_limits
         self.random = random.Random(seed)
+        self.fault_random = random.Random(-seed)
         self.entries: dict[str, EntryNode] = {}
         self.agents: dict[str, AgentNode] = {}
         self.end_counts: Counter[str] = Counter()
@@ -478,6 +812,13 @@
         self.requests_by_job_id: dict[str, Request] = {}
         self.replies: dict[int, tuple[ReplyKind, float]] = {}
         self.start_messages = 0
+        # With faults, callers that get no answer submit again, and links break.
+        self.has_faults = False
+        self.callers: dict[int, Caller] = {}
+        self.next_token = FIRST_TOKEN_OF_RETURNS
+        self.links: dict[tuple[str, str], LinkState] = {}
+        # Decisions and lost messages, with their times and processes, if recorded.
+        self.history: list[tuple[float, str, str, dict[str, object]]] | None = None
         self.chokes: tuple[Choke, ...] = ()
         # When the last message of each link arrives, by sender and receiver.
         self.last_arrival_ms: dict[tuple[Node, Node], float] = {}
@@ -507,17 +848,74 @@
         data_centre = f"dc{number % self.size.data_centres}"
         agent = AgentNode(self, f"a{number}", data_centre, speed, cpu)
         self.agents[agent.name] = agent
-        now_ms = agent.now_ms()
-        agent.handle(
-            WorkerReported(
-                "w", 1, 1, "desk", agent.total, (f"k{speed}",), False, now_ms
-            ),
-            "",
-        )
+        agent.report_worker()
+        for address in self.initial_addresses(agent):
+            entry = self.entries[address]
+            open_link = partial(self.open_link, agent, entry, agent.incarnation)
+            self.clock.run_after(1.0, open_link)
+
+    def initial_addresses(self, agent: AgentNode) -> list[str]:
+        """Return the addresses of the entries that an agent links to at its start."""
         ranking = rank_entries(agent.name, self.endpoints)
-        for name in sorted(select_entries(ranking, data_centre, ())):
-            link_up = LinkUp(f"{name}:1")
-            self.clock.run_after(1.0, partial(agent.handle, link_up, ""))
+        names = sorted(select_entries(ranking, agent.data_centre, ()))
+        return [f"{name}:1" for name in names]
+
+    def link_state(self, agent: AgentNode, entry: EntryNode) -> LinkState:
+        """Return the state of the link between an agent and an entry."""
+        return self.links.setdefault((agent.name, entry.name), LinkState())
+
+    def open_link(self, agent: AgentNode, entry: EntryNode, incarnation: int) -> None:
+        """Open a link for an agent's process, once the entry and it can do so."""
+        link = self.link_state(agent, entry)
+        if agent.incarnation != incarnation or agent.is_killed or link.is_open:
+            return
+        if entry.is_killed or agent.is_paused():
+            retry = partial(self.open_link, agent, entry, incarnation)
+            self.clock.run_after(RETRY_DELAY_MS, retry)
+            return
+        link.number += 1
+        link.is_open = True
+        agent.handle(LinkUp(entry.name), "", entry.name)
+
+    def break_link(self, agent: AgentNode, entry: EntryNode, how: LinkBreak) -> None:
+        """Break a link: what is on its way, or is written from now on, is lost."""
+        link = self.link_state(agent, entry)
+        if not link.number:
+            return
+        link.is_open = False
+        self.clock.run_after(
+            how.agent_delay_ms,
+            partial(self.tell_agent, agent, entry, link.number, how.redial_delay_ms),
+        )
+        self.clock.run_after(
+            how.entry_delay_ms, partial(self.tell_entry, agent, entry, link.number)
+        )
+
+    def tell_agent(
+        self, agent: AgentNode, entry: EntryNode, number: int, redial_delay_ms: float
+    ) -> None:
+        """Tell an agent that a connection is broken; it dials again."""
+        link = self.link_state(agent, entry)
+        if link.number != number or link.agent_told == number:
+            return
+        link.agent_told = number
+        agent.handle(LinkDown(entry.name), "", entry.name)
+        open_link = partial(self.open_link, agent, entry, agent.incarnation)
+        self.clock.run_after(redial_delay_ms, open_link)
+
+    def tell_entry(self, agent: AgentNode, entry: EntryNode, number: int) -> None:
+        """Tell an entry that a connection is broken, unless a new one replaced it."""
+        link = self.link_state(agent, entry)
+        if link.entry_number != number or link.entry_told == number:
+            return
+        link.entry_told = number
+        entry.handle(LinkDown(agent.name), "", agent.name)
+
+    def drop_link(self, agent: AgentNode, entry: EntryNode) -> None:
+        """Break a link as one end asked; without faults, links stay."""
+        if self.has_faults:
+            redial_delay_ms = self.fault_random.uniform(0, MAX_REDIAL_DELAY_MS)
+            self.break_link(agent, entry, LinkBreak(1, 1, redial_delay_ms))
 
     def deliver(
         self, sender_node: Node, receiver: Node, message: object, sender: str
@@ -543,9 +941,52 @@
         link = (sender_node, receiver)
         arrival_ms = max(now_ms + delay_ms, self.last_arrival_ms.get(link, 0.0))
         self.last_arrival_ms[link] = arrival_ms
-        deliver = partial(receiver.handle, message, sender)
+        agent, entry = (
+            (sender_node, receiver)
+            if isinstance(sender_node, AgentNode)
+            else (receiver, sender_node)
+        )
+        assert isinstance(agent, AgentNode)
+        assert isinstance(entry, EntryNode)
+        state = self.link_state(agent, entry)
+        is_announced = receiver is entry or state.entry_number == state.number
+        if not state.is_open or not is_announced:
+            self.record_loss(sender_node, receiver, message)
+            return
+        deliver = partial(
+            self.arrive, state, state.number, sender_node, receiver, message, sender
+        )
         self.clock.run_after(arrival_ms - now_ms, deliver)
 
+    def arrive(
+        self,
+        link: LinkState,
+        number: int,
+        sender_node: Node,
+        receiver: Node,
+        message: object,
+        sender: str,
+    ) -> None:
+        """Let a message arrive, unless its connection has broken."""
+        if not link.is_open or link.number != number:
+            self.record_loss(sender_node, receiver, message)
+            return
+        if isinstance(receiver, EntryNode):
+            link.entry_number = number
+        receiver.handle(message, sender)
+
+    def record_loss(self, sender: Node, receiver: Node, message: object) -> None:
+        """Record that a message was lost with its link."""
+        fields: dict[str, object] = {"to": receiver.name, "message": message}
+        self.record_decision(sender, f"lost {type(message).__name__}", fields)
+
+    def record_decision(
+        self, node: Node, event: str, fields: dict[str, object]
+    ) -> None:
+        """Record what a process decided, or what happened to it."""
+        if self.history is not None:
+            self.history.append((self.clock.now_ms, node.name, event, fields))
+
     def next_end_number(self, agent: str) -> int:
         """Return the number of the next end at an agent's worker."""
         self.end_counts[agent] += 1
@@ -557,8 +998,46 @@
         return self.requests_by_job_id[job_id].work_ms[int(index)]
 
     def record_reply(self, effect: BurstReply) -> None:
-        """Record the reply to a caller and its time."""
-        self.replies[effect.token] = (effect.kind, self.clock.now_ms)
+        """Record the reply to a caller that waits for it, and its time.
+
+        With faults, a caller that gets no answer submits its job again.
+        """
+        caller = self.callers.pop(effect.token, None)
+        if caller is None:
+            return
+        if self.has_faults and effect.kind is ReplyKind.NO_ANSWER:
+            self.submit_again_later(caller)
+            return
+        self.replies[caller.request] = (effect.kind, self.clock.now_ms)
+
+    def break_caller(self, token: int, entry_delay_ms: float) -> None:
+        """Break a caller's connection; its entry learns of it later."""
+        caller = self.callers.pop(token)
+        tell = partial(caller.entry.handle, CallerLeft(token), "", f"caller {token}")
+        self.clock.run_after(entry_delay_ms, tell)
+        self.submit_again_later(caller)
+
+    def submit_again_later(self, caller: Caller) -> None:
+        """Submit a job again, after the delay that the platform sets."""
+        submit_again = partial(self.submit_again, caller)
+        self.clock.run_after(timing.RESUBMIT_DELAY_MS, submit_again)
+
+    def submit_again(self, caller: Caller) -> None:
+        """Submit a job again, to a random entry."""
+        live = [entry for entry in self.entries.values() if not entry.is_killed]
+        if live:
+            entry = self.fault_random.choice(live)
+            self.next_token += 1
+            self.send_job(self.next_token, caller._replace(entry=entry))
+
+    def send_job(self, token: int, caller: Caller) -> None:
+        """Send a caller's job to its entry."""
+        if caller.entry.is_killed:
+            self.submit_again_later(caller)
+            return
+        self.callers[token] = caller
+        event = SubmitJob(token, HOST, caller.path, caller.job)
+        caller.entry.handle(event, "", f"caller {token}")
 
     def capacity_per_second(self) -> float:
         """Return the work that all workers do in a second.
@@ -599,7 +1078,7 @@
         )
         job = BurstJob(job_id, "", (step,), "")
         entry = rng.choice(list(self.entries.values()))
-        entry.handle(SubmitJob(token, HOST, f"{kind.path}{job_id}", job), "")
+        self.send_job(token, Caller(token, f"{kind.path}{job_id}", job, entry))
 
 
 def data_centre_of(node: Node) -> str:
@@ -631,14 +1110,18 @@
     bursts: tuple[Burst, ...],
     chokes: tuple[Choke, ...],
     load_duration_ms: int,
+    faults: tuple[Fault, ...] = (),
 ) -> LoadResult:
-    """Simulate a load; times of bursts and chokes count from its start."""
+    """Simulate a load; times of bursts, chokes and faults count from its start."""
     size = simulation.size
     simulation.clock.run_until_ms(simulation.clock.now_ms + WARM_UP_MS)
     load_start_ms = simulation.clock.now_ms
     simulation.chokes = tuple(
         choke._replace(start_ms=int(load_start_ms) + choke.start_ms) for choke in chokes
     )
+    simulation.has_faults = bool(faults)
+    for fault in faults:
+        simulation.clock.run_after(fault.start_ms, partial(fault.apply, simulation))
     # Jobs of a kind are submitted at rate_scale times its relative rate, per ms. So
     # all kinds together need the wanted share of the capacity on average.
     need_per_rate = size.task_cpu * sum(
