--- a/tests/decision/burst/test_lost_stops.py
+++ b/tests/decision/burst/test_lost_stops.py
@@ -2,7 +2,17 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
+from bench.virtual.burst_faults import CallerReset
+from bench.virtual.burst_faults import LinkReset
+from bench.virtual.burst_load import DEFAULT_HETEROGENEITY
+from bench.virtual.burst_load import SLOWEST_WORKERS
+from bench.virtual.burst_load import BurstSimulation
+from bench.virtual.burst_load import DeploymentSize
+from bench.virtual.burst_load import find_simultaneous_runs
+from bench.virtual.burst_load import run_simulation
 
 from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.requests import CallerLeft
@@ -17,6 +27,9 @@
 from tests.decision.burst.joined import WARM_UP_MS
 from tests.decision.burst.joined import JoinedCores
 
+if TYPE_CHECKING:
+    from bench.virtual.burst_load import Fault
+
 RUN_MS = 3_000
 # Times since the job was submitted. An entry gives up a job with a task that
 # finds no room after three goals, 1,080 ms.
@@ -27,6 +40,9 @@
 GOAL_ROUTE = route(goal_ms=60, slack_factor=0.1)
 # The time by which a run that its entry no longer wants must have been stopped.
 STOP_LIMIT_MS = timing.SILENCE_LIMIT_MS + timing.BUSY_HEARTBEAT_INTERVAL_MS
+# Few jobs, so that one that is submitted again starts at once.
+SMALL = DeploymentSize(utilization=0.15)
+MEDIUM = DeploymentSize(entries=6, workers=24, utilization=0.3)
 
 # How a job ends, with the number of its tasks; its worker has room for one.
 JOB_ENDS = pytest.mark.parametrize(
@@ -110,3 +126,25 @@
     joined.advance_time(RUN_MS)
     assert [reply.kind for reply in joined.replies] == [ReplyKind.COMPLETED]
     assert joined.workers["a"].stops == []
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("size", [SMALL, MEDIUM], ids=["small", "medium"])
+@pytest.mark.parametrize(
+    ("callers_break_after_ms", "max_report_delay_ms"),
+    [(-2, 2), (0, 2), (5, 2), (0, 50)],
+    ids=["callers-first", "at-once", "links-first", "half-open"],
+)
+def test_resets_of_all_connections_never_cause_two_runs_of_a_task(
+    callers_break_after_ms: int,
+    max_report_delay_ms: int,
+    size: DeploymentSize,
+    seed: int,
+) -> None:
+    simulation = BurstSimulation(size, DEFAULT_HETEROGENEITY, seed, SLOWEST_WORKERS)
+    faults: list[Fault] = []
+    for start_ms in range(1_000, 7_000, 1_000):
+        faults.append(LinkReset(start_ms, max_entry_delay_ms=max_report_delay_ms))
+        faults.append(CallerReset(start_ms + callers_break_after_ms))
+    run_simulation(simulation, (), (), 7_000, tuple(faults))
+    assert find_simultaneous_runs(simulation) == []
