List overlapping runs of one task in explain

Cause: in the incident with two runs of one task at once, no command showed from the logs which runs had met; explain only told of jobs that were late or lost.

Change: explain compares the agents' "run ended" lines and lists each pair of runs of a task that overlapped, with log, entry, attempt, end and reason, after the losses; if there are none, one line says how many runs were compared. The line does not name its agent, which goes by its log file's name, or by the path if several logs have that name. A file that is given twice is read once, or each run would meet itself. The first pass keeps a hash of each run's task, 8 bytes; the second one keeps only runs of tasks whose hash came up again. Runs with run_ms 0 are left out. Those that were done or failed did run, after a start request without an answer, and are counted. A "run ended" line without a valid time counts as malformed.

--- a/src/sardineferry/explain/__init__.py
+++ b/src/sardineferry/explain/__init__.py
@@ -1,10 +1,24 @@
-"""Explains from structured logs why jobs were late, refused or unanswered."""
+"""Explains from structured logs what happened to jobs.
+
+Why they were late, refused or unanswered, and which runs of one task overlapped.
+"""
 
 from __future__ import annotations
 
 from sardineferry.explain.causes import Cause
 from sardineferry.explain.causes import find_cause
+from sardineferry.explain.overlaps import ComparedRun
+from sardineferry.explain.overlaps import Overlap
 from sardineferry.explain.report import Report
 from sardineferry.explain.report import explain_logs
+from sardineferry.explain.report import name_logs
 
-__all__ = ["Cause", "Report", "explain_logs", "find_cause"]
+__all__ = [
+    "Cause",
+    "ComparedRun",
+    "Overlap",
+    "Report",
+    "explain_logs",
+    "find_cause",
+    "name_logs",
+]
--- a/src/sardineferry/explain/lines.py
+++ b/src/sardineferry/explain/lines.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from datetime import datetime
 from typing import TYPE_CHECKING
+from typing import Annotated
 
 import msgspec
 
@@ -23,6 +25,9 @@
 ]
 
 
+MS_PER_S = 1_000
+
+
 class JobAdmitted(msgspec.Struct, tag_field="event", tag="job admitted"):
     """An entry queued a job; ``estimate_ms`` is the estimated work of a task."""
 
@@ -42,19 +47,30 @@
 
 
 class RunEnded(msgspec.Struct, tag_field="event", tag="run ended"):
-    """An agent's run of a task ended."""
+    """An agent's run of a task ended.
 
-    at: str
+    ``run_ms`` is the time since its start, or 0 if the agent knows of none. ``entry``
+    is the one that ordered the run.
+    """
+
+    at: Annotated[datetime, msgspec.Meta(tz=True)]
     task: str
     how: str
     reason: str = ""
     run_ms: int = 0
+    entry: str = ""
+    attempt: int = 0
 
     @property
     def job(self) -> str:
         """The id of the job, with which the name of each task begins."""
         return self.task.partition(".")[0]
 
+    @property
+    def end_ms(self) -> int:
+        """The Unix time in milliseconds at which the line was written."""
+        return round(self.at.timestamp() * MS_PER_S)
+
 
 class JobEnded(msgspec.Struct, tag_field="event", tag="job ended"):
     """An entry answered a job."""
--- a/src/sardineferry/explain/report.py
+++ b/src/sardineferry/explain/report.py
@@ -1,7 +1,8 @@
-"""Reads the logs of many processes and counts what was lost, by cause.
+"""Reads the logs of many processes for losses and for overlapping runs of one task.
 
 The logs are read twice, line by line: only jobs that were late, refused or not
-answered are kept, and the second pass collects their runs from the agents' logs.
+answered are kept, and the second pass collects their runs from the agents' logs,
+and the runs of tasks that ran several times.
 """
 
 from __future__ import annotations
@@ -23,14 +24,18 @@
 from sardineferry.explain.lines import RunEnded
 from sardineferry.explain.lines import RunsOrdered
 from sardineferry.explain.lines import decode_lines
+from sardineferry.explain.overlaps import Overlap
+from sardineferry.explain.overlaps import RepeatedRuns
+from sardineferry.explain.overlaps import TaskCounter
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Mapping
     from pathlib import Path
 
     from sardineferry.explain.lines import JobLine
 
-__all__ = ["Loss", "Report", "explain_logs"]
+__all__ = ["Loss", "Report", "explain_logs", "name_logs"]
 
 # Free capacity below this is not enough for a usual task, in thousandths of a core.
 MIN_TASK_CPU = 1_000
@@ -53,10 +58,17 @@
 
 
 class Report(NamedTuple):
-    """All losses in the order of the logs, and how much was read."""
+    """All losses in the order of time, overlapping runs, and how much was read.
+
+    ``runs_compared`` is the number of runs whose start is known,
+    ``runs_not_compared`` that of runs that started at an unknown time.
+    """
 
     losses: tuple[Loss, ...]
     jobs_ended: int
+    overlaps: tuple[Overlap, ...]
+    runs_compared: int
+    runs_not_compared: int
     counts: LineCounts
 
     def by_cause(self) -> list[tuple[Cause, str, int, int]]:
@@ -129,24 +141,44 @@
         self.active.clear()
 
 
+def name_logs(paths: Iterable[Path]) -> dict[Path, str]:
+    """Return a name for each log: that of its file without the suffix.
+
+    Logs of equal names in several directories are named by their whole paths.
+    """
+    unique_paths = dict.fromkeys(paths)
+    counts = Counter(path.stem for path in unique_paths)
+    return {
+        path: path.stem if counts[path.stem] == 1 else str(path)
+        for path in unique_paths
+    }
+
+
 def explain_logs(paths: Iterable[Path]) -> Report:
-    """Return what the logs of processes, one file each, tell about losses.
+    """Return what the logs of processes, one file each, tell about jobs and runs.
+
+    A file that is given twice is read once.
 
     Raises:
         OSError: A file can't be read.
 
     """
-    paths = list(paths)
+    names = name_logs(paths)
     counts = LineCounts()
+    tasks = TaskCounter()
     readers = []
-    for path in paths:
+    for path in names:
         reader = EntryLogReader()
         readers.append(reader)
         with path.open("rb") as file:
             for line in decode_lines(file, counts):
-                reader.read(line)
+                if isinstance(line, RunEnded):
+                    tasks.read(line)
+                else:
+                    reader.read(line)
     ended = [item for reader in readers for item in reader.ended]
-    collect_runs(paths, ended)
+    repeated = RepeatedRuns(tasks.repeated_hashes())
+    collect_runs(names, ended, repeated)
     slowdowns = [value for reader in readers for value in reader.slowdowns]
     usual_slowdown = statistics.median(slowdowns) if slowdowns else 1.0
     losses = [loss for reader in readers for loss in reader.losses]
@@ -157,24 +189,34 @@
             over_ms = line.took_ms - line.goal_ms if is_late else 0
             losses.append(Loss(line.at, line.job, line.route, cause, over_ms))
     jobs_ended = sum(reader.jobs_ended for reader in readers)
-    return Report(tuple(sorted(losses)), jobs_ended, counts)
+    return Report(
+        tuple(sorted(losses)),
+        jobs_ended,
+        tuple(repeated.overlaps()),
+        len(tasks.hashes),
+        tasks.unknown_starts,
+        counts,
+    )
 
 
 def collect_runs(
-    paths: Iterable[Path], ended: Iterable[tuple[JobEnded, JobHistory]]
+    names: Mapping[Path, str],
+    ended: Iterable[tuple[JobEnded, JobHistory]],
+    repeated: RepeatedRuns,
 ) -> None:
-    """Add the runs of these jobs from the logs of agents.
+    """Add the runs of these jobs and of repeated tasks from the logs of agents.
 
     A job that was submitted again may have ended at several entries.
     """
     histories: dict[str, list[JobHistory]] = {}
     for ended_line, history in ended:
         histories.setdefault(ended_line.job, []).append(history)
-    if not histories:
+    if not histories and not repeated.task_hashes:
         return
-    for path in paths:
+    for path, name in names.items():
         with path.open("rb") as file:
             for line in decode_lines(file, LineCounts()):
                 if isinstance(line, RunEnded):
+                    repeated.read(line, name)
                     for history in histories.get(line.job, ()):
                         history.runs.append(line)
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -5,12 +5,13 @@
 import tracemalloc
 from typing import TYPE_CHECKING
 
-import msgspec
 import pytest
 
 from sardineferry.console.commands.explain import explain
 from sardineferry.explain import Cause
 from sardineferry.explain import explain_logs
+from tests.explain.logs import line
+from tests.explain.logs import write
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -18,11 +19,6 @@
 JOB = "00000000000000aa"
 
 
-def line(event: str, **fields: object) -> bytes:
-    record = {"at": "2026-01-01T00:00:01.000+00:00", "level": "INFO", "event": event}
-    return msgspec.json.encode({**record, "part": "p", **fields}) + b"\n"
-
-
 def admitted(job: str = JOB) -> bytes:
     return line("job admitted", job=job, route="r", estimate_ms=100, tasks=2)
 
@@ -58,15 +54,6 @@
     return line("job refused", job=JOB, reason=reason, free_cpu=free_cpu)
 
 
-def write(directory: Path, **logs: list[bytes]) -> list[Path]:
-    paths = []
-    for name, lines in logs.items():
-        path = directory / f"{name}.log"
-        path.write_bytes(b"".join(lines))
-        paths.append(path)
-    return paths
-
-
 def usual_orders() -> list[bytes]:
     return [ordered(f"{n:016x}") for n in range(64)]
 
