Let the bench's proxy rewrite addresses and reset single clients

An entry registers the address on which it listens for links. With a proxy in front of the store that replaces this address by one of the same length, agents dial a proxy of the entry's links; the programs and their settings stay as they are. A client is found again by its first bytes, an agent's name on a link.

--- a/bench/proxy.py
+++ b/bench/proxy.py
@@ -24,16 +24,27 @@
     a connection; 0 sets no limit. ``block_to_target`` and ``block_from_target``
     block one direction, like a network partition: no bytes are lost, but none
     arrive until the block is lifted or the connection is closed.
+
+    ``rewrites`` maps bytes that clients send to others of the same length, as a
+    network that translates addresses does.
     """
 
-    def __init__(self, address: str, target_address: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        target_address: str,
+        rewrites: dict[bytes, bytes] | None = None,
+    ) -> None:
         """Listen, and accept connections in a thread."""
         self.target_address = target_address
+        self.rewrites = rewrites or {}
         self.delay_s = 0.0
         self.bytes_per_s = 0.0
         self.block_to_target = False
         self.block_from_target = False
         self.open_connections: set[socket.socket] = set()
+        # The other side and the first bytes of each client that has sent any.
+        self.greetings: dict[socket.socket, tuple[socket.socket, bytes]] = {}
         self.listener = socket.create_server(split_address(address), backlog=256)
         threading.Thread(target=self.accept_connections, daemon=True).start()
 
@@ -72,6 +83,10 @@
             while chunk := source.recv(
                 LIMITED_CHUNK_BYTES if self.bytes_per_s else MAX_CHUNK_BYTES
             ):
+                if to_target:
+                    self.greetings.setdefault(source, (destination, chunk))
+                    for old, new in self.rewrites.items():
+                        chunk = chunk.replace(old, new)
                 time.sleep(self.delay_s)
                 if self.bytes_per_s:
                     time.sleep(len(chunk) / self.bytes_per_s)
@@ -84,12 +99,21 @@
             reset(source)
             reset(destination)
         self.open_connections -= {source, destination}
+        if to_target:
+            self.greetings.pop(source, None)
 
     def reset_all(self) -> None:
         """Reset every open connection."""
         for connection in list(self.open_connections):
             reset(connection)
 
+    def reset_greeted(self, marker: bytes) -> None:
+        """Reset the connections whose client has sent the marker first."""
+        for client_side, (target_side, greeting) in list(self.greetings.items()):
+            if marker in greeting:
+                reset(client_side)
+                reset(target_side)
+
     def close(self) -> None:
         """Stop accepting connections, and reset those that are open."""
         self.listener.close()
