--- a/bench/deployed_fleet.py
+++ b/bench/deployed_fleet.py
@@ -99,9 +99,12 @@
         )
         self.link_port, self.app_port, self.metrics_port = ports[4], ports[5], ports[6]
         # With proxies in front of workers and store, workers listen on another
-        # port, and programs reach the store at another address.
+        # port, and programs reach the store at another address. With proxies in
+        # front of entries, agents and callers reach those at other ports.
         self.worker_listen_port = self.app_port
         self.store_address_for_programs = self.store_address
+        self.link_port_for_agents = self.link_port
+        self.front_port_for_callers = self.front_port
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
 
     def __enter__(self) -> DeployedFleet:
@@ -157,14 +160,16 @@
                 },
             )
 
-    def write_settings(self, name: str, ip: str, listen: dict[str, str]) -> Path:
+    def write_settings(
+        self, name: str, ip: str, listen: dict[str, str], link_port: int
+    ) -> Path:
         """Write the settings file of a program, and return its path."""
         document = {
             "NodeName": name,
             "Ip": ip,
             "Zone": DATA_CENTRES[int(ip.rpartition(".")[2]) % len(DATA_CENTRES)],
             "Listen": listen,
-            "PortRange": [self.link_port, self.link_port],
+            "PortRange": [link_port, link_port],
             "Seeds": [f"{entry}:{self.control_port}" for entry in self.entry_ips[:1]],
             "Limits": {"MemoryMb": 300},
             "Bounds": {"GraceS": GRACE_S},
@@ -195,7 +200,10 @@
         """Start or restart an agent."""
         ip = self.agent_ips[index]
         settings_path = self.write_settings(
-            f"agent-{index}", ip, {"Control": f"{ip}:{self.control_port}"}
+            f"agent-{index}",
+            ip,
+            {"Control": f"{ip}:{self.control_port}"},
+            self.link_port_for_agents,
         )
         self.spawn_role(f"agent-{index}", "agent", settings_path)
 
@@ -207,7 +215,9 @@
             "Ready": f"{ip}:{self.ready_port}",
             "Control": f"{ip}:{self.control_port}",
         }
-        settings_path = self.write_settings(f"entry-{index}", ip, listen)
+        settings_path = self.write_settings(
+            f"entry-{index}", ip, listen, self.link_port
+        )
         self.spawn_role(f"entry-{index}", "entry", settings_path)
 
     def spawn_role(self, name: str, role: str, settings_path: Path) -> None:
@@ -222,8 +232,8 @@
         )
 
     def entry_address(self, index: int) -> str:
-        """Return the address at which an entry accepts callers."""
-        return f"{self.entry_ips[index]}:{self.front_port}"
+        """Return the address at which callers reach an entry."""
+        return f"{self.entry_ips[index]}:{self.front_port_for_callers}"
 
     def worker_address(self, index: int) -> str:
         """Return the address at which a worker listens."""
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -4,6 +4,11 @@
 Faults follow each other and overlap; callers reuse their connections. What
 callers and workers observe is checked against the promises in
 docs/design/platform.md.
+
+``--faults resets`` resets all connections of a machine in series and pauses programs
+for moments meanwhile, and ``--faults all`` mixes these with all other faults. Tasks
+that outlast a caller's wait before it submits again (``--long-tasks``) can meet
+their successors. ``--keep-logs`` keeps the logs of a failed seed.
 """
 
 from __future__ import annotations
@@ -12,14 +17,19 @@
 import http.client
 import json
 import random
+import shutil
 import signal
 import sys
 import threading
 import time
 from collections import defaultdict
+from functools import partial
+from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+import msgspec
+
 from bench.deployed_fleet import HOST_NAME
 from bench.deployed_fleet import PATH_PREFIX
 from bench.deployed_fleet import DeployedFleet
@@ -44,6 +54,18 @@
 # Ranges of the time between two faults, and of the duration of a fault.
 FAULT_INTERVAL_S = (0.1, 0.8)
 FAULT_DURATION_S = (0.1, 3.0)
+# Machines are reset up to so often in series, after pauses of this length.
+MAX_RESETS_IN_SERIES = 4
+RESET_INTERVAL_S = (0.05, 0.6)
+# Time between the resets of a machine's connections of one kind and the other.
+MAX_RESET_SKEW_S = 0.008
+# Ranges of the time between two faults and of a pause, if only machines are reset.
+SHORT_FAULT_INTERVAL_S = (0.05, 0.5)
+SHORT_PAUSE_S = (0.05, 1.0)
+# Processor time of short tasks, and of those that may outlast the wait of a caller
+# that submits again.
+SHORT_TASK_MS = (10, 300)
+LONG_TASK_MS = (100, 4_000)
 # Statuses of submissions without an HTTP response.
 NO_ANSWER = 0
 HUNG = -1
@@ -64,6 +86,10 @@
     workers: int = 3
     callers: int = 6
     seconds: float = 8.0
+    # "mixed", "resets" or "all", see ``FaultInjector.choose_fault``.
+    faults: str = "mixed"
+    # The share of jobs whose tasks may outlast a caller's wait.
+    long_tasks: float = 0.0
 
 
 class JobRecord(NamedTuple):
@@ -93,23 +119,58 @@
 
 
 class SoakFleet(DeployedFleet):
-    """A fleet with proxies in front of its store and its workers."""
+    """A fleet with proxies in front of its store, workers and entries.
+
+    An entry registers the address on which it listens for links. The store's proxy
+    replaces its port in the record, so that agents dial the entry's proxy.
+    """
 
     def __init__(self, plan: SoakPlan) -> None:
         """Choose addresses, and start the proxies."""
         super().__init__(plan.entries, plan.workers, cpu=8_000)
-        self.worker_listen_port, proxy_port = find_free_ports(2)
-        self.store_proxy = FaultyProxy(f"127.0.0.1:{proxy_port}", self.store_address)
+        ports = find_free_ports(4)
+        self.worker_listen_port, proxy_port = ports[:2]
+        self.link_port_for_agents, self.front_port_for_callers = ports[2:]
+        self.store_proxy = FaultyProxy(
+            f"127.0.0.1:{proxy_port}",
+            self.store_address,
+            {
+                f"{ip}:{self.link_port}".encode(): self.link_address(index).encode()
+                for index, ip in enumerate(self.entry_ips)
+            },
+        )
         self.store_address_for_programs = f"127.0.0.1:{proxy_port}"
         self.worker_proxies = [
             FaultyProxy(f"{ip}:{self.app_port}", f"{ip}:{self.worker_listen_port}")
             for ip in self.agent_ips
         ]
 
+        self.link_proxies = [
+            FaultyProxy(self.link_address(index), f"{ip}:{self.link_port}")
+            for index, ip in enumerate(self.entry_ips)
+        ]
+        self.caller_proxies = [
+            FaultyProxy(self.entry_address(index), f"{ip}:{self.front_port}")
+            for index, ip in enumerate(self.entry_ips)
+        ]
+
+    def link_address(self, index: int) -> str:
+        """Return the address at which agents reach an entry."""
+        return f"{self.entry_ips[index]}:{self.link_port_for_agents}"
+
     def proxies(self) -> list[FaultyProxy]:
         """Return the proxies of the store and of all workers."""
         return [self.store_proxy, *self.worker_proxies]
 
+    def entry_proxies(self) -> list[FaultyProxy]:
+        """Return the proxies of all entries, for links and for callers."""
+        return [*self.link_proxies, *self.caller_proxies]
+
+    def reset_agent(self, name: str) -> None:
+        """Reset an agent's links, which begin with its name."""
+        for proxy in self.link_proxies:
+            proxy.reset_greeted(msgspec.msgpack.encode(name))
+
     def restart(self, name: str) -> None:
         """Wait until an entry or agent has ended, and start it again."""
         self.processes[name].wait(HUNG_TIMEOUT_S)
@@ -130,9 +191,13 @@
         self.number = number
         self.random = random.Random(f"{plan.seed} caller {number}")
         self.entries = plan.entries
+        self.long_tasks = plan.long_tasks
         self.stopped = threading.Event()
         self.connection: http.client.HTTPConnection | None = None
+        self.address = ""
         self.records: list[JobRecord] = []
+        # What the caller did, with times of the clock that logs use.
+        self.log: list[str] = []
 
     def run(self) -> None:
         """Submit jobs until stopped."""
@@ -142,7 +207,9 @@
     def submit_job(self, job_id: str) -> None:
         """Submit a job until it is answered, and record the statuses."""
         tasks = self.random.randint(1, 6)
-        job = make_burst_job(tasks, self.random.randint(10, 300))
+        is_long = self.long_tasks and self.random.random() < self.long_tasks
+        work_ms = self.random.randint(*(LONG_TASK_MS if is_long else SHORT_TASK_MS))
+        job = make_burst_job(tasks, work_ms)
         statuses: list[int] = []
         state = ""
         while not statuses or (
@@ -150,8 +217,13 @@
         ):
             if statuses:
                 time.sleep(RESUBMIT_DELAY_S)
+            sent_s = time.time()
             status, state = self.send_job(job_id, job)
             statuses.append(status)
+            self.log.append(
+                f"{sent_s:.3f}-{time.time():.3f} {job_id} at {self.address}: {status}"
+                f" {state}, {tasks} tasks of {work_ms} ms"
+            )
         answered_ms = time.monotonic_ns() // 1_000_000
         record = JobRecord(job_id, tasks, tuple(statuses), state, answered_ms)
         self.records.append(record)
@@ -165,9 +237,10 @@
         """
         try:
             if self.connection is None:
-                address = self.fleet.entry_address(self.random.randrange(self.entries))
+                index = self.random.randrange(self.entries)
+                self.address = self.fleet.entry_address(index)
                 self.connection = http.client.HTTPConnection(
-                    address, timeout=HUNG_TIMEOUT_S
+                    self.address, timeout=HUNG_TIMEOUT_S
                 )
             self.connection.request(
                 "POST", PATH_PREFIX + job_id, json.dumps(job), {"Host": HOST_NAME}
@@ -196,6 +269,7 @@
         """Set up an injector with a random generator of its own."""
         self.fleet = fleet
         self.random = random.Random(f"{plan.seed} faults")
+        self.faults = plan.faults
         self.pending_ends: list[tuple[float, Callable[[], None]]] = []
         self.faulty_targets: set[str] = set()
         self.configuration_version = 1
@@ -205,9 +279,12 @@
     def run(self, seconds: float) -> None:
         """Inject faults for so many seconds, then end them all."""
         stop_s = time.monotonic() + seconds
+        interval_s = (
+            FAULT_INTERVAL_S if self.faults == "mixed" else SHORT_FAULT_INTERVAL_S
+        )
         while time.monotonic() < stop_s:
             self.inject_fault()
-            next_fault_s = time.monotonic() + self.random.uniform(*FAULT_INTERVAL_S)
+            next_fault_s = time.monotonic() + self.random.uniform(*interval_s)
             while time.monotonic() < next_fault_s:
                 self.end_expired(time.monotonic())
                 time.sleep(0.01)
@@ -224,26 +301,41 @@
 
     def inject_fault(self) -> None:
         """Inject a random fault, unless its target already has one."""
-        faults = [
+        inject = self.choose_fault()
+        inject(self.random.uniform(*FAULT_DURATION_S))
+
+    def choose_fault(self) -> Callable[[float], None]:
+        """Choose a kind of fault from those of the plan."""
+        mixed_faults = [
             self.stop_program,
             self.pause_or_reload,
             self.disturb_connections,
             self.disturb_worker,
             self.disturb_store,
+            self.publish_configuration,
         ]
-        inject = self.random.choice([*faults, self.publish_configuration])
-        inject(self.random.uniform(*FAULT_DURATION_S))
+        resets = [self.reset_machine, self.reset_machine, self.pause_briefly]
+        if self.faults == "mixed":
+            return self.random.choice(mixed_faults)
+        if self.faults == "resets":
+            return self.random.choice(resets)
+        # As many resets as other faults.
+        return self.random.choice(
+            [*mixed_faults, *resets, *resets, self.disturb_entry_connections]
+        )
 
     def reserve_target(self, fault: str, target: str) -> bool:
         """Reserve a target for a fault; false if it already has one."""
         if target in self.faulty_targets:
             return False
         self.faulty_targets.add(target)
-        self.injected.append(
-            f"{time.monotonic() - self.started_s:.2f} {fault} {target}"
-        )
+        self.note(f"{fault} {target}")
         return True
 
+    def note(self, fault: str) -> None:
+        """Record a fault with its time since the start."""
+        self.injected.append(f"{time.monotonic() - self.started_s:.2f} {fault}")
+
     def schedule_end(
         self, duration_s: float, target: str, end_fault: Callable[[], None]
     ) -> None:
@@ -260,6 +352,53 @@
         names = [name for name in self.fleet.processes if name[:5] in PROGRAM_PREFIXES]
         return self.random.choice(sorted(names))
 
+    def reset_machine(self, _duration_s: float) -> None:
+        """Reset all connections of a program, once or in a short series.
+
+        Pauses and other faults of the same program may overlap.
+        """
+        name = self.choose_program()
+        delay_s = 0.0
+        for _ in range(self.random.randint(1, MAX_RESETS_IN_SERIES)):
+            links_first = self.random.random() < 0.5
+            skew_s = self.random.uniform(0.0, MAX_RESET_SKEW_S)
+            self.pending_ends.append(
+                (
+                    time.monotonic() + delay_s,
+                    partial(self.reset_connections, name, skew_s, links_first),
+                )
+            )
+            delay_s += self.random.uniform(*RESET_INTERVAL_S)
+
+    def reset_connections(self, name: str, skew_s: float, links_first: bool) -> None:
+        """Reset the connections of an entry, one kind first, or those of an agent."""
+        role, _, index = name.partition("-")
+        if role == "agent":
+            self.note(f"reset {name}")
+            self.fleet.reset_agent(name)
+            return
+        self.note(f"reset {name}" + ", links first" * links_first)
+        proxies = [
+            self.fleet.caller_proxies[int(index)],
+            self.fleet.link_proxies[int(index)],
+        ]
+        if links_first:
+            proxies.reverse()
+        proxies[0].reset_all()
+        time.sleep(skew_s)
+        proxies[1].reset_all()
+
+    def pause_briefly(self, _duration_s: float) -> None:
+        """Pause a program for a moment, so that it acts late."""
+        name = self.choose_program()
+        if self.reserve_target("SIGSTOP", name):
+            self.fleet.kill(name, signal.SIGSTOP)
+            self.schedule_end(
+                self.random.uniform(*SHORT_PAUSE_S),
+                name,
+                lambda: self.fleet.kill(name, signal.SIGCONT),
+            )
+
     def stop_program(self, duration_s: float) -> None:
         """Send SIGKILL or SIGTERM to a program, and restart it when the fault ends."""
         name = self.choose_program()
@@ -286,9 +425,18 @@
         return f"worker-{self.random.randrange(len(self.fleet.agent_ips))}"
 
     def disturb_connections(self, duration_s: float) -> None:
-        """Delay, block or reset the connections through a proxy."""
+        """Delay, block or reset the connections to the store or a worker."""
         index = self.random.randrange(len(self.fleet.proxies()))
-        proxy, target = self.fleet.proxies()[index], f"proxy-{index}"
+        self.disturb_proxy(self.fleet.proxies()[index], f"proxy-{index}", duration_s)
+
+    def disturb_entry_connections(self, duration_s: float) -> None:
+        """Delay, block or reset the links or the callers' connections of an entry."""
+        index = self.random.randrange(len(self.fleet.entry_proxies()))
+        proxy = self.fleet.entry_proxies()[index]
+        self.disturb_proxy(proxy, f"entry-proxy-{index}", duration_s)
+
+    def disturb_proxy(self, proxy: FaultyProxy, target: str, duration_s: float) -> None:
+        """Delay, block or reset the connections through a proxy."""
         fault = self.random.choice(
             ("delay", "block_to_target", "block_from_target", "block_both", "reset")
         )
@@ -407,8 +555,21 @@
     ]
 
 
-def run_soak(plan: SoakPlan) -> tuple[list[str], str]:
-    """Run one seed; return the broken promises, and a summary line."""
+def keep_logs(
+    directory: Path, fleet: SoakFleet, callers: list[Caller], summary: list[str]
+) -> None:
+    """Copy the logs of all processes, and write those of callers and a summary."""
+    shutil.copytree(fleet.directory.name, directory, dirs_exist_ok=True)
+    caller_log = sorted(line for caller in callers for line in caller.log)
+    (directory / "callers.log").write_text("\n".join(caller_log) + "\n")
+    (directory / "summary.txt").write_text("\n".join(summary) + "\n")
+
+
+def run_soak(plan: SoakPlan, logs: Path | None = None) -> tuple[list[str], str]:
+    """Run one seed; return the broken promises, and a summary line.
+
+    If a promise was broken, the logs are kept in a directory with the seed's number.
+    """
     fleet = SoakFleet(plan)
     try:
         with fleet:
@@ -429,8 +590,20 @@
                 broken_promises.append(
                     "exception in the decision code: " + fleet.log_tails()
                 )
+            if broken_promises and logs is not None:
+                # Workers give times of the steady clock, logs those of day.
+                clock_offset = f"{time.time() - time.monotonic():.3f} s clock offset"
+                started = f"{injector.started_s:.3f} s steady start of faults"
+                keep_logs(
+                    logs / str(plan.seed),
+                    fleet,
+                    callers,
+                    [str(plan), clock_offset, started]
+                    + [*broken_promises, *injector.injected]
+                    + [str(run) for run in collect_runs(fleet)],
+                )
     finally:
-        for proxy in fleet.proxies():
+        for proxy in [*fleet.proxies(), *fleet.entry_proxies()]:
             proxy.close()
     served = sum(record.statuses[-1] == 200 for record in records)
     summary = (
@@ -483,6 +656,9 @@
     parser.add_argument("--workers", type=int, default=3)
     parser.add_argument("--callers", type=int, default=6)
     parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--faults", choices=("mixed", "resets", "all"), default="mixed")
+    parser.add_argument("--long-tasks", type=float, default=0.0)
+    parser.add_argument("--keep-logs", type=Path)
     arguments = parser.parse_args()
     failed_seeds = 0
     for seed in range(arguments.first, arguments.first + arguments.seeds):
@@ -493,7 +669,10 @@
                 arguments.workers,
                 arguments.callers,
                 arguments.seconds,
-            )
+                arguments.faults,
+                arguments.long_tasks,
+            ),
+            arguments.keep_logs,
         )
         failed_seeds += bool(broken_promises)
         print(summary, *broken_promises, sep="\n  ", flush=True)
