--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -41,7 +41,17 @@
     assert len(find_broken_promises(records, runs)) == count
 
 
-@pytest.mark.parametrize("seed", [1])
-def test_programs_keep_their_promises_under_faults(seed: int) -> None:
-    broken_promises, _ = run_soak(SoakPlan(seed))
+@pytest.mark.parametrize(
+    "plan",
+    [
+        pytest.param(SoakPlan(1), id="mixed"),
+        # A caller's connection and a link break together, and the task outlasts the
+        # caller's wait before it submits the job again.
+        pytest.param(
+            SoakPlan(1, seconds=3.0, faults="resets", long_tasks=1.0), id="resets"
+        ),
+    ],
+)
+def test_programs_keep_their_promises_under_faults(plan: SoakPlan) -> None:
+    broken_promises, _ = run_soak(plan)
     assert broken_promises == []
