--- a/bench/soak.py
+++ b/bench/soak.py
@@ -24,6 +24,7 @@
 import time
 from collections import defaultdict
 from functools import partial
+from operator import itemgetter
 from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -62,6 +63,9 @@
 # Ranges of the time between two faults and of a pause, if only machines are reset.
 SHORT_FAULT_INTERVAL_S = (0.05, 0.5)
 SHORT_PAUSE_S = (0.05, 1.0)
+# Programs are paused up to so often in series, and run for this long in between.
+MAX_PAUSES_IN_SERIES = 3
+TIME_BETWEEN_PAUSES_S = (0.01, 0.2)
 # Processor time of short tasks, and of those that may outlast the wait of a caller
 # that submits again.
 SHORT_TASK_MS = (10, 300)
@@ -270,8 +274,10 @@
         self.fleet = fleet
         self.random = random.Random(f"{plan.seed} faults")
         self.faults = plan.faults
-        self.pending_ends: list[tuple[float, Callable[[], None]]] = []
+        self.pending_actions: list[tuple[float, Callable[[], None]]] = []
         self.faulty_targets: set[str] = set()
+        # The program whose connections were reset last.
+        self.last_reset = ""
         self.configuration_version = 1
         self.injected: list[str] = []
         self.started_s = time.monotonic()
@@ -286,18 +292,16 @@
             self.inject_fault()
             next_fault_s = time.monotonic() + self.random.uniform(*interval_s)
             while time.monotonic() < next_fault_s:
-                self.end_expired(time.monotonic())
+                self.take_due_actions(time.monotonic())
                 time.sleep(0.01)
-        self.end_expired(float("inf"))
+        self.take_due_actions(float("inf"))
 
-    def end_expired(self, now_s: float) -> None:
-        """End the faults whose duration is over."""
-        expired = [
-            end_fault for end_s, end_fault in self.pending_ends if end_s <= now_s
-        ]
-        self.pending_ends = [row for row in self.pending_ends if row[0] > now_s]
-        for end_fault in expired:
-            end_fault()
+    def take_due_actions(self, now_s: float) -> None:
+        """Take the actions whose time has come, in the order of their times."""
+        due = [row for row in self.pending_actions if row[0] <= now_s]
+        self.pending_actions = [row for row in self.pending_actions if row[0] > now_s]
+        for _due_s, act in sorted(due, key=itemgetter(0)):
+            act()
 
     def inject_fault(self) -> None:
         """Inject a random fault, unless its target already has one."""
@@ -345,7 +349,11 @@
             end_fault()
             self.faulty_targets.discard(target)
 
-        self.pending_ends.append((time.monotonic() + duration_s, end_and_release))
+        self.schedule(duration_s, end_and_release)
+
+    def schedule(self, delay_s: float, act: Callable[[], None]) -> None:
+        """Act after a time."""
+        self.pending_actions.append((time.monotonic() + delay_s, act))
 
     def choose_program(self) -> str:
         """Choose an entry or an agent at random."""
@@ -362,16 +370,14 @@
         for _ in range(self.random.randint(1, MAX_RESETS_IN_SERIES)):
             links_first = self.random.random() < 0.5
             skew_s = self.random.uniform(0.0, MAX_RESET_SKEW_S)
-            self.pending_ends.append(
-                (
-                    time.monotonic() + delay_s,
-                    partial(self.reset_connections, name, skew_s, links_first),
-                )
+            self.schedule(
+                delay_s, partial(self.reset_connections, name, skew_s, links_first)
             )
             delay_s += self.random.uniform(*RESET_INTERVAL_S)
 
     def reset_connections(self, name: str, skew_s: float, links_first: bool) -> None:
         """Reset the connections of an entry, one kind first, or those of an agent."""
+        self.last_reset = name
         role, _, index = name.partition("-")
         if role == "agent":
             self.note(f"reset {name}")
@@ -389,15 +395,23 @@
         proxies[1].reset_all()
 
     def pause_briefly(self, _duration_s: float) -> None:
-        """Pause a program for a moment, so that it acts late."""
+        """Pause a program for moments in series, so that it acts late.
+
+        Half of the time it is the program whose connections were reset last.
+        """
         name = self.choose_program()
-        if self.reserve_target("SIGSTOP", name):
-            self.fleet.kill(name, signal.SIGSTOP)
-            self.schedule_end(
-                self.random.uniform(*SHORT_PAUSE_S),
-                name,
-                lambda: self.fleet.kill(name, signal.SIGCONT),
-            )
+        if self.last_reset and self.random.random() < 0.5:
+            name = self.last_reset
+        if not self.reserve_target("SIGSTOP", name):
+            return
+        delay_s = 0.0
+        for _ in range(self.random.randint(1, MAX_PAUSES_IN_SERIES)):
+            pause_s = self.random.uniform(*SHORT_PAUSE_S)
+            self.schedule(delay_s, partial(self.fleet.kill, name, signal.SIGSTOP))
+            delay_s += pause_s
+            self.schedule(delay_s, partial(self.fleet.kill, name, signal.SIGCONT))
+            delay_s += self.random.uniform(*TIME_BETWEEN_PAUSES_S)
+        self.schedule_end(delay_s, name, partial(self.fleet.kill, name, signal.SIGCONT))
 
     def stop_program(self, duration_s: float) -> None:
         """Send SIGKILL or SIGTERM to a program, and restart it when the fault ends."""
