Ignore orders on a link that another one has replaced

What callers saw: nothing; found by review. A task could run twice for one heartbeat, or a run of a restarted entry's earlier process could go on.

Cause: an agent may have two links to one entry, by its seed and its registered address. It lists what it holds on the new one; an order that it read from the old one after that was started, although the entry took it for lost and ordered again. An order of a restarted entry's earlier process was started too, and kept alive by echoes, as the new process numbers its orders from 1 again.

Change: an agent starts nothing that is ordered on a replaced link, as it already ignores echoes there.

Three more tests guard rules of echoes that no test guarded.

--- a/src/sardineferry/decision/burst/agent_runs.py
+++ b/src/sardineferry/decision/burst/agent_runs.py
@@ -66,11 +66,13 @@
 ) -> None:
     """Start the runs that fit into the free capacity and refuse the others.
 
-    Runs of the order that this entry ordered before are left as they are.
+    Runs of the order that this entry ordered before are left as they are. An order on a
+    link that another one has replaced is ignored: the list of held runs, sent on the
+    new link, has told the entry that it did not arrive.
     """
     name = state.entry_names_by_link.get(sender)
     view = state.entry_views.get(name) if name else None
-    if view is None:
+    if view is None or view.link != sender:
         return
     view.last_order = max(view.last_order, event.order)
     view.last_heard_ms = now_ms
--- a/tests/decision/burst/test_agent.py
+++ b/tests/decision/burst/test_agent.py
@@ -46,6 +46,7 @@
 from tests.decision.burst.drive import sent
 
 RUN = ref()
+OTHER_LINK = "10.0.0.2:7000"
 
 
 @pytest.fixture
@@ -170,6 +171,36 @@
     assert logged(agent.effects, "run refused") == []
 
 
+@pytest.mark.parametrize("incarnation", ["1", "2"], ids=["same entry", "restarted"])
+def test_order_that_arrives_on_a_replaced_link_starts_nothing(
+    agent: AgentDriver, incarnation: str
+) -> None:
+    """The entry takes it for lost, and a restarted one numbers its orders anew."""
+    agent.link(OTHER_LINK, incarnation=incarnation)
+    assert sent(agent.order(RUN), StartRun) == []
+
+
+def test_echo_that_arrives_on_a_replaced_link_is_ignored(agent: AgentDriver) -> None:
+    start_run(agent)
+    permitted_until_ms = agent.state.runs[RUN].permitted_until_ms
+    agent.link(OTHER_LINK)
+    for wanted_orders in ((), (1,)):
+        echo = EntryBeat(agent.now_ms + 100, wanted_orders)
+        assert sent(agent.handle(echo, LINK), StopRun) == []
+    assert agent.state.runs[RUN].permitted_until_ms == permitted_until_ms
+
+
+def test_late_echo_of_an_old_timestamp_does_not_shorten_a_permission(
+    agent: AgentDriver,
+) -> None:
+    timestamp_ms = agent.now_ms
+    agent.now_ms += 350
+    start_run(agent)
+    permitted_until_ms = agent.state.runs[RUN].permitted_until_ms
+    agent.handle(EntryBeat(timestamp_ms, (1,)))
+    assert agent.state.runs[RUN].permitted_until_ms == permitted_until_ms
+
+
 def order_for(agent: AgentDriver, run: RunRef) -> StartRuns:
     return StartRuns(1, agent.now_ms + 400, (run,), "spec", Resources(1), 100, True)
 
--- a/tests/decision/burst/test_entry.py
+++ b/tests/decision/burst/test_entry.py
@@ -744,6 +744,18 @@
     assert {name for name, _ in entry.orders()} == {"b"}
 
 
+def test_echo_omits_a_job_that_ends_in_the_same_pass() -> None:
+    entry = EntryDriver(agents="a")
+    entry.handle(submit(1, job()))
+    core, now_ms = entry.core, entry.now_ms
+    effects = [
+        *core.handle(AgentBeat(now_ms + 1), "a", now_ms),
+        *core.handle(CallerLeft(1), "", now_ms),
+        *core.conclude(now_ms),
+    ]
+    assert [echo.wanted_orders for echo in sent(effects, EntryBeat)] == [()]
+
+
 @pytest.mark.parametrize(
     ("deadlines_ms", "ends_ms"),
     [((500,), 500), ((500, 900), 900), ((900, 500), 900), ((500, 0), None)],
