Judge by a list of held runs only orders from before the announcement

What callers saw: nothing; found by review. A task could run twice until the next echo.

Cause: an agent lists its runs once for each welcome. If two announcements of it wait together, the entry may accept it after the first list and order a run before it reads the second one, which was sent before that order. The run seemed lost and was ordered elsewhere at once.

Change: an entry notes at each announcement which order comes next; a list says nothing about orders from that number on.

Result: test_order_that_crosses_a_second_list_of_held_runs_is_not_repeated failed before. test_runs_that_a_linked_agent_does_not_list_are_retried now announces the agent first: it sent a list without an announcement, which no agent does; what it expects is unchanged.

--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -66,6 +66,7 @@
     # Send no orders until the agent has listed the runs that it holds. A run whose
     # order crosses the list would seem lost and be retried while it runs.
     view.accepting = False
+    view.first_unlisted_order = state.next_order
     if view.incarnation != event.incarnation:
         view.agent_timestamp_ms = 0
         view.clear_reservations()
@@ -173,15 +174,21 @@
 ) -> None:
     """End the runs that an agent no longer holds after its link was reopened.
 
-    A run whose order never arrived counts as refused, any other as lost.
+    A run whose order never arrived counts as refused, any other as lost. Orders that
+    were sent after the agent announced itself may have crossed the list.
     """
     view = record_contact(state, sender, now_ms)
     if view is None:
         return
     log_unwanted_runs(state, view, event)
     held = set(event.runs)
-    for ref in [ref for ref in view.runs if ref not in held]:
-        placed = view.runs.pop(ref)
+    missing = [
+        (ref, placed)
+        for ref, placed in view.runs.items()
+        if ref not in held and placed.order < view.first_unlisted_order
+    ]
+    for ref, placed in missing:
+        del view.runs[ref]
         how = ENDED_LOST if placed.order <= event.last_order else ENDED_REFUSED
         apply_run_end(
             state, view, placed, RunEnded(ref, how, 0, "lost with link"), now_ms
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -204,6 +204,8 @@
         # When its timestamp was last echoed, or its only runs were ordered.
         self.last_echo_ms = 0
         self.last_order_sent_ms = 0
+        # The next list of held runs includes no order from this number on.
+        self.first_unlisted_order = 0
         self.runs: dict[RunRef, PlacedRun] = {}
         # Runs of an earlier incarnation, which the worker may still be running.
         self.orphans: dict[RunRef, PlacedRun] = {}
--- a/tests/decision/burst/test_entry.py
+++ b/tests/decision/burst/test_entry.py
@@ -322,10 +322,27 @@
 ) -> None:
     entry.handle(submit(1, job()))
     name = entry.orders()[0][0]
+    entry.handle(WorkerAnnounce(name, "1", "dc"), name)
     entry.handle(HeldRuns((), 0), name)
     assert [run.attempt for _, o in entry.orders() for run in o.runs] == [1, 2]
 
 
+def test_order_that_crosses_a_second_list_of_held_runs_is_not_repeated() -> None:
+    """Two announcements that wait together are answered with a list each."""
+    entry = EntryDriver()
+    for name in "ab":
+        entry.handle(LinkDown(name))
+    for _ in range(2):
+        entry.handle(WorkerAnnounce("a", "1", "dc"), "a")
+    entry.handle(submit(1, job()))
+    entry.handle(HeldRuns((), 0), "a")
+    entry.report_capacity("a", TOTAL)
+    assert [name for name, _ in entry.orders()] == ["a"]
+    entry.link("b")
+    entry.handle(HeldRuns((), 0), "a")
+    assert [name for name, _ in entry.orders()] == ["a"]
+
+
 @pytest.mark.parametrize(
     ("job_ended", "given_up", "how", "expected"),
     [
