Count leases by the slowest clock that a worker may have

What callers saw: nothing; found by review. Beside a worker whose clock is 2% slow a run could outlast the moment at which it counted as ended by up to 15 ms.

Cause: between two answers the agent let the worker's clock advance as fast as its own, though it calls this a lower bound. A lease was asked for up to 16 ms too long, which the sum of timing.py leaves out; it also rounded 795.9 ms down.

Change: the clock advances by the guaranteed 98%; the longest lease is one constant, rounded up.

Result: test_runs_are_lost_only_after_the_lease_of_the_slowest_clock_has_ended, 3 of 3 cases failed before.

--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from sardineferry.charts import load_chart
+from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.config_relay import PART_BYTES
 from sardineferry.decision.burst.config_relay import ConfigRelay
 from sardineferry.decision.burst.slowdown import SlowdownEstimator
@@ -141,8 +142,12 @@
         self.clock_updated_ms = now_ms
 
     def clock_at(self, now_ms: int) -> int:
-        """Return a lower bound of the worker's clock at the agent's ``now_ms``."""
-        return self.clock_ms + max(0, now_ms - self.clock_updated_ms)
+        """Return a lower bound of the worker's clock at the agent's ``now_ms``.
+
+        The clock may be slow, so it has advanced less than the agent's clock.
+        """
+        elapsed_ms = max(0, now_ms - self.clock_updated_ms)
+        return self.clock_ms + int(elapsed_ms * (1 - timing.MAX_CLOCK_SLOWNESS))
 
     def update_clock(self, clock_ms: int, now_ms: int) -> None:
         """Record a reading of the worker's clock, unless a later one is known."""
--- a/src/sardineferry/decision/burst/agent_worker.py
+++ b/src/sardineferry/decision/burst/agent_worker.py
@@ -318,10 +318,7 @@
     agent_runs.resend_due_stops(state, now_ms)
     if not state.runs or now_ms - state.worker_answer_ms <= timing.LEASE_MS:
         return
-    max_lease_ms = (
-        int(timing.LEASE_MS / (1 - timing.MAX_CLOCK_SLOWNESS)) + timing.MAX_KILL_MS
-    )
-    if now_ms - state.lease_sent_ms <= max_lease_ms:
+    if now_ms - state.lease_sent_ms <= timing.LEASE_ENDED_AFTER_MS:
         return
     fields: dict[str, object] = {
         "runs": len(state.runs),
--- a/src/sardineferry/decision/burst/timing.py
+++ b/src/sardineferry/decision/burst/timing.py
@@ -15,6 +15,8 @@
 
 from __future__ import annotations
 
+import math
+
 __all__ = [
     "BUSY_HEARTBEAT_INTERVAL_MS",
     "ECHO_INTERVAL_MS",
@@ -23,6 +25,7 @@
     "IDLE_ECHO_INTERVAL_MS",
     "IDLE_HEARTBEAT_INTERVAL_MS",
     "IDLE_SILENCE_LIMIT_MS",
+    "LEASE_ENDED_AFTER_MS",
     "LEASE_MS",
     "LEASE_RENEWAL_MS",
     "MAX_CLOCK_SLOWNESS",
@@ -73,11 +76,8 @@
 # An order also shows that its entry is alive. It expires when the entry would
 # count as lost if nothing followed.
 ORDER_TTL_MS = SILENCE_LIMIT_MS
+# A worker has ended all runs this long after their lease was last extended.
+LEASE_ENDED_AFTER_MS = math.ceil(LEASE_MS / (1 - MAX_CLOCK_SLOWNESS)) + MAX_KILL_MS
 # This long after an agent's last timestamp arrived, or after the last order to it was
 # sent if that is later, all runs that were ordered there have ended.
-RUNS_ENDED_AFTER_MS = (
-    SILENCE_LIMIT_MS
-    + MAX_TICK_DELAY_MS
-    + int(LEASE_MS / (1 - MAX_CLOCK_SLOWNESS))
-    + MAX_KILL_MS
-)
+RUNS_ENDED_AFTER_MS = SILENCE_LIMIT_MS + MAX_TICK_DELAY_MS + LEASE_ENDED_AFTER_MS
--- a/tests/decision/burst/test_leases.py
+++ b/tests/decision/burst/test_leases.py
@@ -15,6 +15,7 @@
 from sardineferry.decision.burst.worker import StopRun
 from sardineferry.decision.events import LinkDown
 from sardineferry.messages.burst import EntryBeat
+from sardineferry.messages.burst import RunEnded
 from sardineferry.messages.burst import StartRuns
 from sardineferry.messages.burst import StopRuns
 from tests.decision.burst.drive import LINK
@@ -122,3 +123,21 @@
     holds = sent(agent.effects, HoldWorker)
     assert len(holds) == 10
     assert {hold.lease_until_ms for hold in holds} == {0}
+
+
+@pytest.mark.parametrize("answer_lost_ms", [100, 400, 700])
+def test_runs_are_lost_only_after_the_lease_of_the_slowest_clock_has_ended(
+    agent: AgentDriver, answer_lost_ms: int
+) -> None:
+    """The worker carries out holds whose answers are lost."""
+    known_ms = agent.now_ms
+    rate = 1 - timing.MAX_CLOCK_SLOWNESS
+    agent.hold(present=(ListedRun(RUN, 99),))
+    while not sent(agent.effects, RunEnded):
+        agent.tick(10)
+        agent.handle(EntryBeat(agent.now_ms, (1,)))
+        if agent.state.hold_pending and agent.now_ms >= known_ms + answer_lost_ms:
+            agent.hold(answered=False)
+    leases = [hold.lease_until_ms for hold in sent(agent.effects, HoldWorker)]
+    lease_ended_ms = known_ms + (max(leases) - known_ms) / rate
+    assert agent.now_ms >= lease_ended_ms + timing.MAX_KILL_MS
