Order no runs at a worker that fails to stop one

What callers saw: a job could get 502 or wait for a repeat; found by review.

Cause: since leases are not extended while a stop is not confirmed, an agent beside a worker that refuses stops went on accepting orders. Their starts had a lease that was about to end or over, used up all tries within milliseconds, and counted as lost rather than refused.

Change: after three failed stops of a run the agent accepts no orders until one is confirmed. A hold that extends nothing because of a stop waits 20 ms only.

--- a/src/sardineferry/decision/burst/agent_runs.py
+++ b/src/sardineferry/decision/burst/agent_runs.py
@@ -329,9 +329,13 @@
         return
     if accepted:
         run.confirmed_ms = now_ms
+        run.stop_failures = 0
+        state.capacity_changed = True
         run.advance("confirm")
     else:
+        run.stop_failures += 1
         run.stop_due_ms = now_ms + STOP_RETRY_DELAY_MS
+        state.capacity_changed = True
 
 
 def resend_due_stops(state: BurstAgentState, now_ms: int) -> None:
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -24,6 +24,9 @@
 
 __all__ = ["BurstAgentState", "EntryView", "Run", "WorkerIncarnation"]
 
+# A worker that fails so many stop requests for a run gets no more runs, as no lease is
+# extended meanwhile.
+MAX_STOP_FAILURES = 3
 # Ends of runs kept per entry, as it may have missed them while its link was down.
 MAX_KEPT_ENDS = 512
 
@@ -46,6 +49,7 @@
         "started_ms",
         "status",
         "stop_due_ms",
+        "stop_failures",
         "stop_reason",
         "tries",
     )
@@ -87,6 +91,8 @@
         self.refused_entry = ""
         # When the stop request is sent again; None if that is not scheduled.
         self.stop_due_ms: int | None = None
+        # Stop requests that the worker did not answer or refused.
+        self.stop_failures = 0
 
     def advance(self, event: str) -> None:
         """Change the status by the state chart of runs.
@@ -250,6 +256,7 @@
             and self.reconciled
             and not self.unknown_runs
             and not self.worker.report.draining
+            and all(run.stop_failures < MAX_STOP_FAILURES for run in self.runs.values())
         )
 
     def runs_of(self, entry_name: str) -> list[Run]:
--- a/src/sardineferry/decision/burst/agent_worker.py
+++ b/src/sardineferry/decision/burst/agent_worker.py
@@ -182,10 +182,17 @@
     # present one expires.
     silent = now_ms - state.worker_answer_ms > timing.LEASE_MS
     extended = not idle and not silent and agent_runs.extend_lease(state, now_ms)
+    if idle or not state.reconciled:
+        wait_ms = 0
+    elif extended or silent:
+        wait_ms = timing.LEASE_RENEWAL_MS
+    else:
+        # The lease is extended as soon as the pending stop is confirmed.
+        wait_ms = HOLD_RETRY_DELAY_MS
     state.hold_pending = True
     state.effects.append(
         HoldWorker(
-            0 if idle or not state.reconciled else timing.LEASE_RENEWAL_MS,
+            wait_ms,
             state.lease_until_ms if extended else 0,
             state.acknowledged,
             state.fencing_token,
--- a/tests/decision/burst/test_leases.py
+++ b/tests/decision/burst/test_leases.py
@@ -18,6 +18,7 @@
 from sardineferry.messages.burst import RunEnded
 from sardineferry.messages.burst import StartRuns
 from sardineferry.messages.burst import StopRuns
+from sardineferry.messages.burst import WorkerRoom
 from tests.decision.burst.drive import LINK
 from tests.decision.burst.drive import NEED
 from tests.decision.burst.drive import AgentDriver
@@ -95,6 +96,30 @@
     assert (start.run, start.lease_until_ms) == (OTHER_RUN, lease_until_ms)
 
 
+def test_worker_that_fails_to_stop_a_run_gets_no_more_runs(agent: AgentDriver) -> None:
+    """Starts would get a lease that is about to end, as none is extended."""
+    ask_to_stop(agent)
+    agent.effects.clear()
+    for _ in range(3):
+        assert agent.state.accepting()
+        agent.handle(StopAnswered(RUN, False, False, agent.now_ms))
+        agent.tick(20)
+    updates = sent(agent.effects, WorkerRoom)
+    assert not updates[-1].accepting
+    effects = agent.handle(order_of_other_entry(agent), OTHER_LINK)
+    assert [end.reason for end in sent(effects, RunEnded)] == ["not accepting"]
+    assert sent(effects, StartRun) == []
+    effects = agent.handle(StopAnswered(RUN, True, False, agent.now_ms))
+    assert sent(effects, WorkerRoom)[-1].accepting
+
+
+def test_lease_is_extended_soon_after_a_stop_is_confirmed(agent: AgentDriver) -> None:
+    ask_to_stop(agent)
+    agent.effects.clear()
+    agent.hold(present=(ListedRun(RUN, 99),))
+    assert [hold.wait_ms for hold in sent(agent.effects, HoldWorker)] == [20]
+
+
 @pytest.mark.parametrize("late_ms", [1, 100, 300, 1_000])
 def test_late_agent_extends_no_lease_of_a_lost_entry(
     agent: AgentDriver, late_ms: int
