Sort losses in explain by time and job only

Cause: two losses of one job at the same time and route were compared by their causes, which have no order; explain ended with a TypeError. Change: losses are sorted by time and job. Result: test_job_that_is_lost_twice_at_the_same_time_is_listed_twice failed before.

--- a/src/sardineferry/explain/report.py
+++ b/src/sardineferry/explain/report.py
@@ -190,7 +190,7 @@
             losses.append(Loss(line.at, line.job, line.route, cause, over_ms))
     jobs_ended = sum(reader.jobs_ended for reader in readers)
     return Report(
-        tuple(sorted(losses)),
+        tuple(sorted(losses, key=lambda loss: (loss.at, loss.job))),
         jobs_ended,
         tuple(repeated.overlaps()),
         len(tasks.hashes),
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -133,6 +133,14 @@
     assert [loss.cause for loss in report.losses] == [Cause.RUN_LOST] * 2
 
 
+def test_job_that_is_lost_twice_at_the_same_time_is_listed_twice(
+    tmp_path: Path,
+) -> None:
+    refusals = [refused("no configuration yet"), refused("entry is leaving")]
+    report = explain_logs(write(tmp_path, entry=refusals))
+    assert len({loss.cause for loss in report.losses}) == len(report.losses) == 2
+
+
 def test_malformed_and_dropped_lines_are_counted(tmp_path: Path) -> None:
     lines = [
         b"not JSON\n",
