Place a job that is submitted again only once its earlier runs have ended

What callers saw: nothing; a task ran twice for 20-50 ms.

Cause: an entry that reads late what its callers sent may find a request, its caller's close and the caller's next submission within some ms. It ordered the runs, stopped them, and at once ordered the same tasks elsewhere, though it knew that the first runs had not ended: a stop takes up to 50 ms. It relied on the 1,300 ms after which a caller submits again, not on the ends that it is told.

Change: the tasks of a job wait until the runs of its earlier submissions here have ended, were found missing, or must have expired. Meanwhile the job holds back no agents from others.

Result: test_job_submitted_again_waits_for_the_ends_of_its_earlier_runs, 10 of 10 cases failed before. test_job_resubmitted_after_its_caller_left_uses_higher_attempts expected the second run before the end of the first one; it now reports that end first, and expects the same attempts.

--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -266,6 +266,11 @@
 ) -> None:
     """Apply the end of a run to its task and job."""
     job, task = placed.job, placed.task
+    current = state.jobs.get(job.job.job_id)
+    if current is not None and current is not job:
+        # The job was submitted again while this run had not ended.
+        current.count_earlier_run(task.index, -1)
+        state.placement_due = True
     if event.how == ENDED_REFUSED:
         state.counters["runs_refused"] += 1
         if event.reason == StartAnswer.SUPERSEDED.value:
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -262,6 +262,8 @@
     """Queue a job with its response-time goal and latest start time."""
     earlier = state.ended_jobs.get(event.job.job_id, UNKNOWN_JOB)
     job = ActiveJob(event.job, route, event.token, arrived_ms, earlier)
+    if earlier.attempt:
+        state.count_earlier_runs(job)
     run_ms = job.step.estimate_ms * state.worker_slowdowns.typical_slowdown()
     max_wait_ms = int(admission.max_start_wait_ms(job.goal_ms, run_ms))
     job.latest_start_ms = arrived_ms + max_wait_ms
--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -90,9 +90,9 @@
             job, EligibleAgents(views, eligible.slowdowns), now_ms
         )
         place_job_tasks(state, job, preferred, withheld_agents, now_ms)
-        if job.waiting_tasks():
+        if job.placeable_tasks():
             withheld_agents.update(view.name for view in preferred.views)
-        else:
+        elif not job.waiting_tasks():
             state.queue.remove(job)
     if state.queue:
         request_capacity_updates(state, eligible.views, now_ms)
@@ -161,7 +161,7 @@
         ),
     )
     groups: dict[frozenset[str], list[ActiveTask]] = {}
-    for task in job.waiting_tasks():
+    for task in job.placeable_tasks():
         groups.setdefault(frozenset(task.avoided_agents), []).append(task)
     step = job.step
     for avoided_agents, tasks in groups.items():
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -79,6 +79,7 @@
         "agent",
         "attempt",
         "avoided_agents",
+        "earlier_runs",
         "failures",
         "index",
         "stalled",
@@ -94,6 +95,9 @@
         self.failures = 0
         # True once a run was stopped because it made too little or no progress.
         self.stalled = False
+        # Runs for an earlier submission of the job that have not ended. The task must
+        # not be placed before they have.
+        self.earlier_runs = 0
         # Agents where a run failed, was lost or was rejected by the worker.
         self.avoided_agents: set[str] = set()
 
@@ -153,6 +157,15 @@
         """Return the tasks that are not placed."""
         return [task for task in self.tasks if task.status == "waiting"]
 
+    def placeable_tasks(self) -> list[ActiveTask]:
+        """Return the tasks that are not placed and may be placed now."""
+        return [task for task in self.waiting_tasks() if not task.earlier_runs]
+
+    def count_earlier_run(self, index: int, change: int) -> None:
+        """Change the number of a task's earlier runs, unless it has no such task."""
+        if index < len(self.tasks):
+            self.tasks[index].earlier_runs += change
+
     def waiting_work(self) -> float:
         """Return the work of the waiting tasks, in thousandths of a core times ms."""
         step = self.step
@@ -313,6 +326,13 @@
         # True once the process is about to exit: no job is admitted any more.
         self.exiting = False
 
+    def count_earlier_runs(self, job: ActiveJob) -> None:
+        """Count the runs for earlier submissions of a job, which is not active yet."""
+        for view in self.agents.values():
+            for placed in (*view.runs.values(), *view.orphans.values()):
+                if placed.job.job.job_id == job.job.job_id:
+                    job.count_earlier_run(placed.task.index, 1)
+
     def wanted_orders(self, view: AgentView) -> tuple[int, ...]:
         """Return the numbers of the orders to an agent whose runs may go on."""
         return tuple(
--- a/tests/decision/burst/test_entry.py
+++ b/tests/decision/burst/test_entry.py
@@ -497,10 +497,45 @@
     entry.handle(submit(1, job()))
     entry.handle(CallerLeft(1))
     assert len(sent(entry.effects, StopRuns)) == 1
+    end_all_runs(entry, "lost")
     entry.handle(submit(2, job()))
     assert [run.attempt for _, o in entry.orders() for run in o.runs] == [1, 2]
 
 
+@pytest.mark.parametrize("tasks", [1, 3])
+@pytest.mark.parametrize("how", ["lost", "done", "not held", "agent lost", "orphan"])
+def test_job_submitted_again_waits_for_the_ends_of_its_earlier_runs(
+    how: str, tasks: int
+) -> None:
+    """Replays an entry that reads a request, its close and the next one together."""
+    entry = EntryDriver(agents="a", total=Resources(3_000, 1_000, 0))
+    entry.handle(submit(1, job(tasks=tasks, estimate_ms=2_000)))
+    entry.handle(CallerLeft(1))
+    entry.link("b")
+    entry.handle(submit(2, job(tasks=tasks, estimate_ms=2_000)))
+    other = entry.handle(submit(3, job(2)))
+    assert [name for name, _ in entry.orders()] == ["a", "b"]
+    assert [run.task for order in sent(other, StartRuns) for run in order.runs] == [
+        ref(job_number=2).task
+    ]
+    if how in ("lost", "done"):
+        for run in list(entry.state.agents["a"].runs):
+            entry.handle(RunEnded(run, how, 10, ""), "a")
+    if how == "not held":
+        entry.handle(WorkerAnnounce("a", "1", "dc"), "a")
+        entry.handle(HeldRuns((), 1), "a")
+    if how == "orphan":
+        entry.handle(WorkerAnnounce("a", "2", "dc"), "a")
+    if how in ("agent lost", "orphan"):
+        entry.handle(LinkDown("a"))
+        entry.advance_time(timing.RUNS_ENDED_AFTER_MS - 200, "b")
+        assert len(entry.orders()) == 2
+        entry.advance_time(400, "b")
+    attempts = [run.attempt for _, order in entry.orders()[2:] for run in order.runs]
+    assert attempts == [2] * min(tasks, len(attempts))
+    assert attempts
+
+
 @pytest.mark.parametrize(
     ("lost_links", "ended_tasks", "expected"),
     [
