Don't let the end of a forgotten run block a job that is submitted again

Cause: an entry forgets ended jobs after 4,096 others. The run of a forgotten submission was not counted for the next one, but its end was discounted: the task's number of earlier runs became negative, and it was never placed. Change: only runs that were counted are discounted.

--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -269,7 +269,7 @@
     current = state.jobs.get(job.job.job_id)
     if current is not None and current is not job:
         # The job was submitted again while this run had not ended.
-        current.count_earlier_run(task.index, -1)
+        current.forget_earlier_run(task.index)
         state.placement_due = True
     if event.how == ENDED_REFUSED:
         state.counters["runs_refused"] += 1
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -161,10 +161,18 @@
         """Return the tasks that are not placed and may be placed now."""
         return [task for task in self.waiting_tasks() if not task.earlier_runs]
 
-    def count_earlier_run(self, index: int, change: int) -> None:
-        """Change the number of a task's earlier runs, unless it has no such task."""
+    def count_earlier_run(self, index: int) -> None:
+        """Count a run for an earlier submission, unless this one has no such task."""
         if index < len(self.tasks):
-            self.tasks[index].earlier_runs += change
+            self.tasks[index].earlier_runs += 1
+
+    def forget_earlier_run(self, index: int) -> None:
+        """Discount a run for an earlier submission that has ended, if it was counted.
+
+        It was not if the earlier submission had already been forgotten.
+        """
+        if index < len(self.tasks) and self.tasks[index].earlier_runs:
+            self.tasks[index].earlier_runs -= 1
 
     def waiting_work(self) -> float:
         """Return the work of the waiting tasks, in thousandths of a core times ms."""
@@ -331,7 +339,7 @@
         for view in self.agents.values():
             for placed in (*view.runs.values(), *view.orphans.values()):
                 if placed.job.job.job_id == job.job.job_id:
-                    job.count_earlier_run(placed.task.index, 1)
+                    job.count_earlier_run(placed.task.index)
 
     def wanted_orders(self, view: AgentView) -> tuple[int, ...]:
         """Return the numbers of the orders to an agent whose runs may go on."""
--- a/tests/decision/burst/test_entry.py
+++ b/tests/decision/burst/test_entry.py
@@ -536,6 +536,17 @@
     assert attempts
 
 
+def test_end_of_a_run_of_a_forgotten_submission_does_not_block_the_next_one() -> None:
+    entry = EntryDriver(agents="a", total=Resources(1_000, 1_000, 0))
+    entry.handle(submit(1, job()))
+    entry.handle(CallerLeft(1))
+    entry.state.ended_jobs.clear()
+    entry.handle(submit(2, job()))
+    entry.handle(RunEnded(ref(), "lost", 10, ""), "a")
+    entry.report_capacity("a", Resources(1_000, 1_000, 0), last_order=99)
+    assert len(entry.orders()) == 2
+
+
 @pytest.mark.parametrize(
     ("lost_links", "ended_tasks", "expected"),
     [
