Don't start jobs of callers that have left before they are read

What callers saw: nothing; a task could run twice for the time of a stop.

Cause: an entry that reads late takes a request from a connection that its caller has already closed. A socket is read once a round, so the close is seen in the next one: the entry ordered the runs and stopped them some ms later. The caller may have come back meanwhile, at another entry.

Change: a submission is dropped if the end of its connection can be read already.

--- a/src/sardineferry/loop/connection.py
+++ b/src/sardineferry/loop/connection.py
@@ -137,6 +137,17 @@
             self.end_reported = True
             self.owner.input_ended(reason)
 
+    def has_ended(self) -> bool:
+        """Return whether the peer has closed its side and all its bytes were read."""
+        if self.closed or not self.reading:
+            return True
+        try:
+            return not self.socket.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+
     def stop_reading(self) -> None:
         """Stop reading: the peer has closed its sending side."""
         self.reading = False
--- a/src/sardineferry/platform/callers.py
+++ b/src/sardineferry/platform/callers.py
@@ -180,6 +180,9 @@
         if isinstance(parsed, Failure):
             exchange.answer(json_response(400, {"error": parsed.failure()}))
             return
+        if exchange.caller_has_left():
+            # The caller may have submitted the job again already.
+            return
         job = parsed.unwrap()
         deadline_ms = parse_deadline_ms(exchange.request.headers)
         self.send_to_core(
--- a/src/sardineferry/web/server.py
+++ b/src/sardineferry/web/server.py
@@ -76,6 +76,13 @@
             self.is_done = True
             self.connection.answer(self, response)
 
+    def caller_has_left(self) -> bool:
+        """Return whether the caller has closed the connection, even if just now.
+
+        If the request was read late, this is known before ``on_disconnect`` is called.
+        """
+        return self.is_done or self.connection.connection.has_ended()
+
     def abandon(self) -> None:
         """Drop the request, and notify its handler that the caller has left."""
         if not self.is_done:
--- a/tests/web/test_server.py
+++ b/tests/web/test_server.py
@@ -229,6 +229,34 @@
     assert running.handler.disconnected_paths == ["/wait"]
 
 
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize("requests", [1, 2])
+def test_caller_that_left_before_its_request_was_read_is_known_to_have_left(
+    running: RunningServer, reset: bool, requests: int
+) -> None:
+    clients = {leaves: running.connect() for leaves in (False, True)}
+    run_for(running.loop, 0.05)
+    for leaves, client in clients.items():
+        client.send(get(f"/{leaves}") * (requests - 1) + get("/wait"))
+        if leaves and reset:
+            linger = b"\1\0\0\0\0\0\0\0"
+            client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        if leaves:
+            client.socket.close()
+    found: list[bool] = []
+
+    def handle(request: HttpRequest, exchange: Exchange) -> None:
+        if request.path == "/wait":
+            found.append(exchange.caller_has_left())
+        else:
+            exchange.answer(json_response(200, {}))
+
+    running.server.handle = handle
+    run_for(running.loop, 0.1)
+    # A reset may discard the request before it is read.
+    assert sorted(found) in ([False, True], [False] if reset else [False, True])
+
+
 def test_exception_in_handler_fails_one_request(running: RunningServer) -> None:
     client = running.connect()
     client.send(get("/bad") + get("/now"))
