--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,7 @@
-"""Large jobs come at once; jobs of the usual size go on before and after them."""
+"""A request arrives once more, seconds after its job was cancelled."""
 
 from __future__ import annotations
 
-import os
 import time
 from pathlib import Path
 
@@ -14,97 +13,40 @@
 from fleet import make_job
 from fleet import run_case
 
-WORKERS = 3
-WORKER_CPU = 64_000
-# The pages: "jobs of up to 1,300 tasks".
-LARGE_TASKS = 1_300
-LARGE_CPU = 48
-LARGE_WORK_MS = 200
-LARGE_JOBS = WORKERS
-USUAL_TASKS = 3
-USUAL_WORK_MS = 120
-USUAL_JOBS = 30
-INTERVAL_S = 0.2
-DEADLINE_MS = 1_500
-SERVED_SHARE = 0.25
+JOB_ID = "5c0e7a21d94b36f8"
+WORK_MS = 4_000
+DEADLINE_MS = 20_000
+# The late copy arrives this long after the 2xx response.
+LATE_S = 4.0
 
 
 def case(fleet: Fleet, trouble: bool) -> list[str]:
-    """Compare the share of usual jobs that is served before and after large jobs."""
+    """Submit, cancel, let a late copy of the request arrive; return late starts."""
     record = fleet.record
-    fleet.worker_cpu = WORKER_CPU
-    fleet.start(["a,r1-1", "a,r1-2", "a,r1-3"], make_config(1))
-    before = served_share(fleet, 0xA000_0000_0000_0000, "before")
-    if before < SERVED_SHARE:
-        raise CannotRunError("the usual jobs were not served at first")
+    fleet.start(["a,r1-1", "a,r1-2", "b,r1-3"], make_config(1))
+    entry = fleet.front_address(0)
+    job = make_job(2, WORK_MS)
+    submitted = Request(record, "submit", entry, "POST", JOB_ID, job, DEADLINE_MS)
+    fleet.wait_for_start(JOB_ID, 2)
+    time.sleep(0.3)
+    cancelled = Request(record, "cancel", entry, "DELETE", JOB_ID)
+    cancelled.join()
+    submitted.join(5.0)
+    if cancelled.status not in (200, 410) or submitted.status != 200:
+        raise CannotRunError("the job was not submitted and cancelled")
+    time.sleep(LATE_S)
     if trouble:
-        job = make_job(LARGE_TASKS, LARGE_WORK_MS, Cpu=LARGE_CPU)
-        large = [
-            Request(
-                record,
-                f"large {number}",
-                fleet.front_address(number % 2),
-                "POST",
-                f"{0xB000_0000_0000_0000 + number:016x}",
-                job,
-                DEADLINE_MS,
-            )
-            for number in range(LARGE_JOBS)
-        ]
-        for request in large:
-            request.join()
+        late = Request(record, "late copy", entry, "POST", JOB_ID, job, DEADLINE_MS)
+        late.join(WORK_MS / 1_000 + 2.0)
     else:
-        time.sleep(DEADLINE_MS / 1_000)
-    record.add("the large jobs are over, and their requesters have left")
-    time.sleep(BOUNDS["RecoveryS"])
-    note_processor_time(fleet)
-    after = served_share(fleet, 0xC000_0000_0000_0000, "after")
-    note_processor_time(fleet)
-    if after >= SERVED_SHARE:
-        return []
+        time.sleep(WORK_MS / 1_000)
+    limit_ms = cancelled.answered_ms + BOUNDS["cancel_ms"]
     return [
-        f"RECOVER: {after:.0%} of the usual jobs are served later than RecoveryS after"
-        f" the large jobs, {before:.0%} were before them"
+        f"UNASKED: {start['task']} was started {start['at'] - cancelled.answered_ms} ms"
+        f" after the cancelling was acknowledged (cancel_ms {BOUNDS['cancel_ms']})"
+        for start in fleet.starts(JOB_ID)
+        if start["at"] > limit_ms
     ]
 
 
-def served_share(fleet: Fleet, first_id: int, name: str) -> float:
-    """Submit usual jobs one after the other; return the share that is completed."""
-    requests = []
-    for number in range(USUAL_JOBS):
-        job = make_job(USUAL_TASKS, USUAL_WORK_MS)
-        entry = fleet.front_address(number % 2)
-        job_id = f"{first_id + number:016x}"
-        requests.append(
-            Request(
-                fleet.record,
-                f"{name} {number}",
-                entry,
-                "POST",
-                job_id,
-                job,
-                DEADLINE_MS,
-            )
-        )
-        time.sleep(INTERVAL_S)
-    for request in requests:
-        request.join()
-    served = sum(
-        request.status == 200 and request.answer == {"State": "completed"}
-        for request in requests
-    )
-    fleet.record.add(f"{name}: {served} of {USUAL_JOBS} usual jobs were served")
-    return served / USUAL_JOBS
-
-
-def note_processor_time(fleet: Fleet) -> None:
-    """Note each agent's processor time so far, for information only."""
-    ticks_per_s = os.sysconf("SC_CLK_TCK")
-    for name, process in fleet.processes.items():
-        if name.startswith("agent"):
-            stat = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2]
-            ticks = sum(int(field) for field in stat.split()[11:13])
-            fleet.record.add(f"{name} has used {ticks / ticks_per_s:.1f} processor s")
-
-
-run_case(case, Path(__file__).resolve().parent, entries=2, workers=WORKERS)
+run_case(case, Path(__file__).resolve().parent, entries=2, workers=3)
