--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
 import json
 import os
@@ -44,6 +45,7 @@
 SERVICE = "visit-desk"
 ZONES = ("sofia-a", "sofia-b", "plovdiv-a")
 READY_S = 25.0
+PORTS = range(20_000, 32_000)
 # The figures of a small installation.
 BOUNDS = {
     "SeedLagS": 3,
@@ -177,7 +179,12 @@
             except (OSError, http.client.HTTPException):
                 pass
             time.sleep(0.05)
-        raise CannotRunError("a program did not become ready")
+        logs = [f"{log.name}: {log.read_text()[-300:]}" for log in self.logs()]
+        raise CannotRunError(f"a program did not become ready; {logs}")
+
+    def logs(self) -> list[Path]:
+        """Return the files that hold what the processes printed."""
+        return sorted(self.folder.glob("*.log"))
 
     def spawn(
         self, name: str, command: list[str], env: dict[str, str] | None = None
@@ -384,13 +391,14 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return free ports."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    """Return free ports, outside the usual range of outgoing connections."""
+    ports: list[int] = []
+    candidates = iter(random.sample(PORTS, len(PORTS)))
+    while len(ports) < count:
+        port = next(candidates)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            ports.append(port)
     return ports
 
 
@@ -461,7 +469,7 @@
             if os.environ.get("KEEP_LOGS"):
                 keep = Path(os.environ["KEEP_LOGS"])
                 keep.mkdir(parents=True, exist_ok=True)
-                for log in fleet.folder.glob("*.log"):
+                for log in fleet.logs():
                     (keep / log.name).write_bytes(log.read_bytes())
     record.write()
     print(record.lines[-1][1])
