--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -8,6 +8,7 @@
 import os
 import random
 import shlex
+import signal
 import socket
 import subprocess
 import sys
@@ -16,14 +17,10 @@
 import time
 import tomllib
 from pathlib import Path
-from typing import TYPE_CHECKING
 from typing import Any
 
 from standins import now_ms
 
-if TYPE_CHECKING:
-    import signal
-
 __all__ = [
     "BOUNDS",
     "HOST",
@@ -447,6 +444,8 @@
 
     ``case`` gets the fleet and whether to make trouble; it returns the breaches.
     """
+    # A case that is told to end still ends its processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     record.add(f"TROUBLE={int(trouble)}")
