--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -39,11 +39,11 @@
 STANDINS = Path(__file__).with_name("standins.py")
 HOST = "desk.example"
 PREFIX = "/holds/"
-SERVICE = "visit-desk"
-ZONES = ("sofia-a", "sofia-b", "plovdiv-a")
+SERVICE = "booking-desk"
+ZONES = ("gresik", "cilacap", "semarang")
 READY_S = 25.0
 PORTS = range(20_000, 32_000)
-# The figures of a small installation.
+# The figures of the site tbl-urea.
 BOUNDS = {
     "SeedLagS": 3,
     "AddrReuseS": 2,
@@ -66,8 +66,8 @@
     "finish_s": 14,
     "status_s": 120,
     "RemoteFactor": 1.5,
-    "CheckpointS": 0.5,
-    "RestoreMs": 250,
+    "CheckpointS": 2,
+    "RestoreMs": 600,
     "NoticeMs": 4500,
     "MigrateS": 1.5,
     "MaintenanceS": 2,
@@ -148,7 +148,7 @@
         self.store = f"127.0.0.1:{store}"
         self.events: list[Path] = []
         self.roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
-        self.worker_cpu = 32_000
+        self.worker_cpu = 64_000
 
     def start(self, labels: list[str], config: dict[str, object]) -> None:
         """Start all processes; wait until every entry is ready and sees all agents."""
@@ -214,8 +214,8 @@
             "MachineClass": machine,
             "Ip": ip,
             "Zone": ZONES[index % len(ZONES)],
-            "Region": "bg-south",
-            "Zones": dict.fromkeys(ZONES, "bg-south"),
+            "Region": "jawa",
+            "Zones": dict.fromkeys(ZONES, "jawa"),
             "PortRange": [self.link, self.link],
             "Seeds": [f"{entry}:{self.control}" for entry in self.entry_ips[:3]],
             "Bootstrap": True,
@@ -465,11 +465,11 @@
             record.add(f"the case could not run: {error!r}")
         finally:
             fleet.stop()
+            record.write()
             if os.environ.get("KEEP_LOGS"):
                 keep = Path(os.environ["KEEP_LOGS"])
                 keep.mkdir(parents=True, exist_ok=True)
                 for log in fleet.logs():
                     (keep / log.name).write_bytes(log.read_bytes())
-    record.write()
     print(record.lines[-1][1])
     sys.exit(status)
