--- a/review/1/case.py
+++ b/review/1/case.py
@@ -105,4 +105,4 @@
     return breaches
 
 
-run_case(case, Path(__file__).resolve().parent, entries=2, workers=3)
+run_case(case, Path(__file__).resolve().parent, entries=3, workers=3)
