Answer late copies of a request with the outcome of its job

Cause: of an ended job an entry kept the highest attempt and whether it had run, so decide_admission took every copy for a submission that nobody had answered. The log of the case shows it: `job admitted` a second time at entry 0, 2.0 s after `job ended` with outcome `completed`. It kept the last 4,096 jobs, however old.

Change: an ended job is remembered for 60 s, with its outcome if its caller was given one or has cancelled it; a copy gets that outcome and is logged as `job submitted again`. Also while draining or about to exit, where copies were refused. A job whose callers left or got no answer runs again, as before.

Why this works: the entry that answered a job is the only one that needs to answer its copies the same way, and needs no other process for it.

--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -51,6 +51,8 @@
 # Retry delay after a refusal for another reason than a long forecast wait, for
 # example while no worker is known.
 DEFAULT_RETRY_MS = 500
+# Outcomes that late copies of a job's request are answered as well.
+FINAL_OUTCOMES = (ReplyKind.COMPLETED, ReplyKind.FAILED, ReplyKind.CANCELLED)
 
 
 @handle_entry_event.register(SubmitJob)
@@ -62,14 +64,12 @@
     A job that comes soon after the start, before the configuration has been read,
     is held back.
     """
-    if state.exiting:
-        refuse_job(state, event, "entry has left", DEFAULT_RETRY_MS, now_ms)
-        return
     if state.configuration.version >= 0:
         decide_admission(state, event, now_ms, now_ms)
         return
     can_hold = (
-        state.is_discovering_workers(now_ms)
+        not state.exiting
+        and state.is_discovering_workers(now_ms)
         and state.drain_started_ms is None
         and len(state.early_jobs) < MAX_EARLY_JOBS
     )
@@ -101,7 +101,8 @@
 ) -> None:
     """Admit a job that arrived at ``arrived_ms``, or refuse it.
 
-    If the job is already active, its caller waits for the same outcome.
+    If the job is already active, its caller waits for the same outcome. If it has ended
+    with an outcome, its caller gets that one.
     """
     route = state.route_table.match(event.host, event.path)
     if route is None:
@@ -122,6 +123,10 @@
             LogDecision("job submitted again", {"job": event.job.job_id})
         )
         return
+    ended = state.ended_jobs.get(event.job.job_id, UNKNOWN_JOB)
+    if ended.outcome is not None:
+        answer_ended_job(state, event, ended.outcome, now_ms - ended.ended_ms)
+        return
     refusal = find_refusal(state, event, route, now_ms)
     if refusal is not None:
         refuse_job(state, event, *refusal, now_ms)
@@ -129,6 +134,19 @@
     admit_job(state, event, route, arrived_ms)
 
 
+def answer_ended_job(
+    state: BurstEntryState, event: SubmitJob, outcome: ReplyKind, age_ms: int
+) -> None:
+    """Answer a late copy of a request with the outcome of its job."""
+    fields: dict[str, object] = {
+        "job": event.job.job_id,
+        "outcome": outcome.value,
+        "ended_ms_ago": age_ms,
+    }
+    state.effects.append(LogDecision("job submitted again", fields))
+    state.effects.append(BurstReply(event.token, outcome, "ended before"))
+
+
 def find_refusal(
     state: BurstEntryState, event: SubmitJob, route: Route, now_ms: int
 ) -> tuple[str, int] | None:
@@ -136,6 +154,8 @@
 
     The delay is 0 where a retry would be refused as well.
     """
+    if state.exiting:
+        return ("entry has left", DEFAULT_RETRY_MS)
     if event.job.unsupported:
         return (f"not supported: {event.job.unsupported}", 0)
     if route.needs_advice:
@@ -330,7 +350,10 @@
         return
     job.tokens.discard(event.token)
     if not job.tokens:
-        finish_job(state, job, ReplyKind.CANCELLED, "caller left", now_ms)
+        # It may submit the job again, which then runs again.
+        finish_job(
+            state, job, ReplyKind.CANCELLED, "caller left", now_ms, is_final=False
+        )
 
 
 @handle_entry_event.register(CancelJob)
@@ -390,11 +413,18 @@
 
 
 def finish_job(
-    state: BurstEntryState, job: ActiveJob, kind: ReplyKind, reason: str, now_ms: int
+    state: BurstEntryState,
+    job: ActiveJob,
+    kind: ReplyKind,
+    reason: str,
+    now_ms: int,
+    *,
+    is_final: bool = True,
 ) -> None:
     """Remove a job, stop its runs and reply to all its callers.
 
-    "Not run" is replied only if that is true of all submissions that are known.
+    "Not run" is replied only if that is true of all submissions that are known. If the
+    end is final and has an outcome, late copies of the request get the same answer.
     """
     if kind is ReplyKind.NOT_RUN and job.may_have_run:
         kind = ReplyKind.NO_ANSWER
@@ -402,7 +432,8 @@
     if job in state.queue:
         state.queue.remove(job)
         state.placement_due = True
-    state.remember_job(job)
+    outcome = kind if is_final and kind in FINAL_OUTCOMES else None
+    state.remember_job(job, outcome, now_ms)
     stop_job_runs(state, job)
     state.counters[f"jobs_{kind.value.replace(' ', '_')}"] += 1
     retry_ms = 0
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -14,6 +14,7 @@
 from sardineferry.decision.burst.config_relay import ConfigRelay
 from sardineferry.decision.burst.configuration import NO_CONFIGURATION
 from sardineferry.decision.burst.configuration import RouteTable
+from sardineferry.decision.burst.requests import ReplyKind
 from sardineferry.decision.burst.requests import SubmitJob
 from sardineferry.decision.burst.slowdown import WorkerSlowdowns
 from sardineferry.decision.circuit_breaker import CircuitBreaker
@@ -53,19 +54,26 @@
 # A measured offset between two clocks is used for this long: clocks that drift apart by
 # 100 ppm then differ by 1 ms more.
 CLOCK_OFFSET_VALID_MS = 10_000
-# Ended jobs that are kept, in case they are resubmitted.
-MAX_REMEMBERED_JOBS = 4_096
+# Ended jobs are remembered for this long: a copy of a request may arrive seconds after
+# its response.
+ENDED_JOB_RETENTION_MS = 60_000
+# Bounds the memory for them, at about 300 bytes a job. An entry that ends more than a
+# thousand jobs a second forgets them sooner.
+MAX_REMEMBERED_JOBS = 65_536
 
 
 class EndedJob(NamedTuple):
     """What is kept of an ended job, in case it is submitted again.
 
     ``attempt`` is its highest attempt number. ``may_have_run`` is true if a worker
-    has started a task, or may have.
+    has started a task, or may have. ``outcome`` is what every later copy of the request
+    is answered; None if the job may run again, as its caller got no answer.
     """
 
     attempt: int
     may_have_run: bool
+    outcome: ReplyKind | None = None
+    ended_ms: int = 0
 
 
 UNKNOWN_JOB = EndedJob(0, may_have_run=False)
@@ -431,10 +439,20 @@
             )
         )
 
-    def remember_job(self, job: ActiveJob) -> None:
+    def remember_job(
+        self, job: ActiveJob, outcome: ReplyKind | None, now_ms: int
+    ) -> None:
         """Keep what matters of an ended job, in case it is submitted again."""
-        self.ended_jobs[job.job.job_id] = EndedJob(job.attempt, job.may_have_run)
-        while len(self.ended_jobs) > MAX_REMEMBERED_JOBS:
+        ended = EndedJob(job.attempt, job.may_have_run, outcome, now_ms)
+        self.ended_jobs[job.job.job_id] = ended
+        self.ended_jobs.move_to_end(job.job.job_id)
+        while self.ended_jobs:
+            oldest = next(iter(self.ended_jobs.values()))
+            if (
+                len(self.ended_jobs) <= MAX_REMEMBERED_JOBS
+                and now_ms - oldest.ended_ms <= ENDED_JOB_RETENTION_MS
+            ):
+                return
             self.ended_jobs.popitem(last=False)
 
     def is_active(self, job: ActiveJob) -> bool:
