Hold a job that another entry runs

Cause: an entry knew its own jobs only. A job that it had not, or had forgotten, counted as new; but the agents, which know what runs, told each entry of its own runs alone.

Change: an agent tells its other entries of each run that should last 200 ms, at once, and of any other that has lasted that long, and of the ends of these; on a new link, of all of them. An entry places no task of a job while another entry runs it. Once these runs have ended it marks the tasks that are done and places the rest. The check is made where tasks are placed, so it holds for copies, jobs that wait for room, repeats, and jobs that came before the configuration. A held job is never refused as not run. If two entries have ordered before they heard of each other, the one with the lower name goes on. Runs that an earlier process of the entry ordered count the same, from the list of held runs.

Why this works: the word of a run leaves the agent with its start, and that of its end with its end, on the links that exist. So an entry that was killed or left its runs blocks no resubmission: the agent ends them by its own bound, before the caller comes back, and says so. If the agent is lost, what it told counts for 1,666 ms after its last message; its runs end within 1,266 ms.

Cost: two messages a job, agent and other link, batched by pass, none for shorter tasks.

--- a/src/sardineferry/decision/burst/agent.py
+++ b/src/sardineferry/decision/burst/agent.py
@@ -6,6 +6,7 @@
 
 from sardineferry.decision.burst import agent_links
 from sardineferry.decision.burst import agent_membership
+from sardineferry.decision.burst import agent_other_runs
 from sardineferry.decision.burst import agent_runs
 from sardineferry.decision.burst import agent_worker
 from sardineferry.decision.burst import timing
@@ -49,11 +50,12 @@
         return self.take_effects()
 
     def conclude(self, now_ms: int, _inputs_ms: int) -> list[BurstEffect]:
-        """Send a hold and capacity updates after all events of a pass were applied.
+        """Send a hold, changes of runs and capacity updates after a pass's events.
 
         This starts no runs: ``handle`` starts them as soon as they are ordered.
         """
         agent_worker.request_hold(self.state, now_ms)
+        agent_other_runs.report_changes(self.state)
         agent_links.send_due_capacity_updates(self.state, now_ms)
         return self.take_effects()
 
@@ -67,6 +69,7 @@
         self.last_tick_ms = now_ms
         agent_worker.check_worker(state, now_ms)
         agent_links.check_entries(state, now_ms)
+        agent_other_runs.find_lasting_runs(state, now_ms)
         if now_ms >= state.review_due_ms:
             agent_membership.review_links(state, now_ms)
         agent_links.send_due_heartbeats(state, now_ms)
--- a/src/sardineferry/decision/burst/agent_runs.py
+++ b/src/sardineferry/decision/burst/agent_runs.py
@@ -6,6 +6,7 @@
 
 from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.agent_dispatch import handle_agent_event
+from sardineferry.decision.burst.agent_other_runs import record_start
 from sardineferry.decision.burst.agent_state import Run
 from sardineferry.decision.burst.agent_state import WaitingOrder
 from sardineferry.decision.burst.effects import LogDecision
@@ -118,6 +119,7 @@
         )
         run.ordered_ms = now_ms
         state.add_run(run)
+        record_start(state, run)
         send_start(state, run, now_ms)
 
 
@@ -423,6 +425,8 @@
     if how == ENDED_LOST and run.stop_reason:
         reason = run.stop_reason
     state.remove_run(run)
+    if run.is_reported:
+        state.unreported_ends.append((run, how))
     state.capacity_changed = True
     state.last_end_ms = now_ms
     state.counters[f"runs_{how}"] += 1
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -56,6 +56,7 @@
         "entry_name",
         "estimate_ms",
         "expires_ms",
+        "is_reported",
         "lapsed_ms",
         "movable",
         "need",
@@ -111,6 +112,8 @@
         # When the worker last confirmed that the run has started or stopped.
         self.confirmed_ms = 0
         self.stop_reason = ""
+        # Whether other entries have been told of it, or are in this pass.
+        self.is_reported = False
         # Later orders for the same task, typically of another entry to which the
         # caller has submitted the job again.
         self.waiting_orders: list[WaitingOrder] = []
@@ -254,6 +257,10 @@
         self.labels: tuple[str, ...] = ()
         self.slowdown_estimator = SlowdownEstimator()
         self.runs: dict[RunRef, Run] = {}
+        # Runs that other entries are to be told of, and ended ones that they were told
+        # of, with their outcomes.
+        self.unreported_runs: list[Run] = []
+        self.unreported_ends: list[tuple[Run, str]] = []
         # The resources of all runs, also of those that are being stopped.
         self.reserved = Resources()
         # Runs, being stopped, that the worker lists but that are not in ``runs``:
--- a/src/sardineferry/decision/burst/entry.py
+++ b/src/sardineferry/decision/burst/entry.py
@@ -7,6 +7,7 @@
 from sardineferry.decision.burst import entry_agents
 from sardineferry.decision.burst import entry_callers
 from sardineferry.decision.burst import entry_config
+from sardineferry.decision.burst import entry_other_runs
 from sardineferry.decision.burst import entry_placement
 from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.entry_dispatch import handle_entry_event
@@ -21,7 +22,7 @@
 __all__ = ["HANDLER_MODULES", "BurstEntryCore", "BurstEntryState"]
 
 # Importing these modules registers their event handlers.
-HANDLER_MODULES = (entry_agents, entry_callers, entry_config)
+HANDLER_MODULES = (entry_agents, entry_callers, entry_config, entry_other_runs)
 
 IDLE_TICK_INTERVAL_MS = 200
 # With active jobs, ticks also finish those that have waited too long and detect lost
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -8,7 +8,12 @@
 from sardineferry.decision.burst.effects import DropLink
 from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.entry_callers import finish_job
+from sardineferry.decision.burst.entry_callers import finish_job_if_done
 from sardineferry.decision.burst.entry_dispatch import handle_entry_event
+from sardineferry.decision.burst.entry_other_runs import add_unknown_runs
+from sardineferry.decision.burst.entry_other_runs import end_unknown_run
+from sardineferry.decision.burst.entry_other_runs import forget_lost_runs
+from sardineferry.decision.burst.entry_other_runs import forget_runs_before_restart
 from sardineferry.decision.burst.entry_state import AgentView
 from sardineferry.decision.burst.entry_state import EndProof
 from sardineferry.decision.burst.entry_state import EndSource
@@ -139,9 +144,11 @@
         view.accepting = event.accepting
         state.placement_due = True
         log_agent(state, "agent accepting changed", view, now_ms)
-    if view.accepting and view.orphans:
         # A restarted agent accepts orders only once its worker has ended all
         # earlier runs.
+        if view.accepting:
+            forget_runs_before_restart(state, view, now_ms)
+    if view.accepting and view.orphans:
         retry_orphans(state, view, EndSource.RESTARTED, "agent restarted", now_ms)
 
 
@@ -184,6 +191,8 @@
     if view is None:
         return
     log_unwanted_runs(state, view, event)
+    unknown = [ref for ref in event.runs if ref not in view.runs]
+    add_unknown_runs(state, view, unknown, now_ms)
     held = set(event.runs)
     missing = [
         (ref, placed)
@@ -226,6 +235,7 @@
     placed = view.runs.pop(event.run, None)
     if placed is None:
         state.counters["ends_ignored"] += 1
+        end_unknown_run(state, view, event, now_ms)
         # On a new link an agent first repeats ends that may have been applied.
         if view.accepting:
             log_unwanted_outcome(state, view, event, "unknown run ended")
@@ -357,14 +367,6 @@
         state.queue.append(job)
 
 
-def finish_job_if_done(state: BurstEntryState, job: ActiveJob, now_ms: int) -> None:
-    """Finish a job as completed once all its tasks are done."""
-    if not state.is_active(job):
-        return
-    if all(task.status == "done" for task in job.tasks):
-        finish_job(state, job, ReplyKind.COMPLETED, "all tasks done", now_ms)
-
-
 def check_agents(state: BurstEntryState, now_ms: int) -> None:
     """Retry runs of lost agents, drop silent links and forget long silent agents."""
     for view in list(state.agents.values()):
@@ -380,6 +382,7 @@
                 ended = RunEnded(ref, ENDED_LOST, 0, "agent lost")
                 apply_run_end(state, view, placed, ended, EndSource.BOUND, now_ms)
         silent_ms = now_ms - max(view.last_heard_ms, state.resumed_ms)
+        forget_lost_runs(state, view, silent_ms, now_ms)
         if view.linked and silent_ms > timing.IDLE_SILENCE_LIMIT_MS:
             view.linked = False
             log_agent(state, "agent silent", view, now_ms)
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -35,6 +35,9 @@
     "expire_waiting_jobs",
     "finish_all_jobs",
     "finish_job",
+    "finish_job_if_done",
+    "hold_job",
+    "stop_job_runs",
 ]
 
 # A started job is given up if tasks still wait after this many response-time goals:
@@ -194,8 +197,11 @@
             return ("entry is leaving", DEFAULT_RETRY_MS)
     goal_ms = response_time_goal_ms(route, step.estimate_ms)
     max_wait_ms = admission.max_start_wait_ms(goal_ms, run_ms)
+    # A job that another entry runs waits for the ends of these runs, not for capacity.
+    if discovering or event.job.job_id in state.other_runs:
+        return None
     wait_ms = forecast_start_wait_ms(state, now_ms, now_ms + max_wait_ms)
-    if not discovering and wait_ms > max_wait_ms:
+    if wait_ms > max_wait_ms:
         return (f"forecast wait {wait_ms:.0f} ms", admission.retry_after_ms(wait_ms))
     return None
 
@@ -255,13 +261,16 @@
 ) -> None:
     """Answer a caller that its job was not run.
 
-    A job that may have run before, under an earlier submission, gets no answer.
+    A job that may have run before, under an earlier submission, or that another entry
+    runs, gets no answer.
     """
-    earlier = state.ended_jobs.get(event.job.job_id, UNKNOWN_JOB)
-    kind = ReplyKind.NO_ANSWER if earlier.may_have_run else ReplyKind.NOT_RUN
+    job_id = event.job.job_id
+    earlier = state.ended_jobs.get(job_id, UNKNOWN_JOB)
+    may_run = earlier.may_have_run or job_id in state.other_runs
+    kind = ReplyKind.NO_ANSWER if may_run else ReplyKind.NOT_RUN
     state.counters["jobs_refused"] += 1
     fields: dict[str, object] = {
-        "job": event.job.job_id,
+        "job": job_id,
         "reason": reason,
         "retry_after_ms": retry_after_ms,
         "queue": len(state.queue),
@@ -302,6 +311,29 @@
         "config_version": state.configuration.version,
     }
     state.effects.append(LogDecision("job admitted", fields))
+    if job.job.job_id in state.other_runs:
+        hold_job(state, job, "")
+
+
+def hold_job(state: BurstEntryState, job: ActiveJob, entry: str) -> None:
+    """Place no tasks of a job while another entry runs it.
+
+    ``entry`` is that entry's name, if known.
+    """
+    job.ran_before = True
+    if job.is_held:
+        return
+    job.is_held = True
+    state.counters["jobs_held"] += 1
+    fields: dict[str, object] = {
+        "job": job.job.job_id,
+        "entry": entry,
+        "agents": sorted(
+            agent.name for agent in state.other_runs.agents_by_job[job.job.job_id]
+        ),
+        "placed": sum(task.status == "placed" for task in job.tasks),
+    }
+    state.effects.append(LogDecision("job held, another entry runs it", fields))
 
 
 def record_caller(state: BurstEntryState, event: SubmitJob, arrived_ms: int) -> None:
@@ -457,6 +489,14 @@
     state.effects.append(LogDecision("job ended", fields))
 
 
+def finish_job_if_done(state: BurstEntryState, job: ActiveJob, now_ms: int) -> None:
+    """Finish a job as completed once all its tasks are done."""
+    if not state.is_active(job):
+        return
+    if all(task.status == "done" for task in job.tasks):
+        finish_job(state, job, ReplyKind.COMPLETED, "all tasks done", now_ms)
+
+
 def stop_job_runs(state: BurstEntryState, job: ActiveJob) -> None:
     """Stop the runs of a job, with one message per agent.
 
@@ -483,21 +523,21 @@
 def expire_waiting_jobs(state: BurstEntryState, now_ms: int) -> None:
     """Finish queued jobs that can no longer be served in time.
 
-    A job that has not started is refused after its latest start. In a queued job
-    that has started, some tasks wait for a retry, or for their first run if not all
-    tasks fitted at once. It may wait longer, for ``ABANDON_AFTER_GOALS`` times its
-    response-time goal. Its callers then get no answer, as other tasks may have run.
-    A job that waits for the configuration is refused after
-    ``MAX_CONFIGURATION_WAIT_MS``.
+    A job that has not started is refused after its latest start, unless it is held
+    while another entry runs it. In a queued job that has started, some tasks wait for a
+    retry, or for their first run if not all tasks fitted at once. Both may wait longer,
+    for ``ABANDON_AFTER_GOALS`` times their response-time goal. Their callers then get
+    no answer, as other tasks may have run. A job that waits for the configuration is
+    refused after ``MAX_CONFIGURATION_WAIT_MS``.
     """
     refuse_early_jobs(state, MAX_CONFIGURATION_WAIT_MS, "no configuration yet", now_ms)
     for job in list(state.queue):
-        if not job.started and now_ms > job.latest_start_ms:
+        may_wait = job.started or job.is_held
+        if not may_wait and now_ms > job.latest_start_ms:
             finish_job(state, job, ReplyKind.NOT_RUN, "no room in time", now_ms)
-        elif (
-            job.started and now_ms > job.arrived_ms + ABANDON_AFTER_GOALS * job.goal_ms
-        ):
-            finish_job(state, job, ReplyKind.NO_ANSWER, "no room for a repeat", now_ms)
+        elif may_wait and now_ms > job.arrived_ms + ABANDON_AFTER_GOALS * job.goal_ms:
+            reason = "held too long" if job.is_held else "no room for a repeat"
+            finish_job(state, job, ReplyKind.NO_ANSWER, reason, now_ms)
 
 
 def finish_all_jobs(state: BurstEntryState, now_ms: int) -> None:
--- /dev/null
+++ b/src/sardineferry/decision/burst/entry_other_runs.py
@@ -0,0 +1,162 @@
+"""Event handlers of the entry for runs of its jobs that other entries have ordered.
+
+Load pattern: copies of a request at an entry that never had the job, or no longer knows
+it. The copy is held until these runs have ended. Tasks that ended as done are not
+run again.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sardineferry.decision.burst import timing
+from sardineferry.decision.burst.effects import LogDecision
+from sardineferry.decision.burst.entry_callers import finish_job_if_done
+from sardineferry.decision.burst.entry_callers import hold_job
+from sardineferry.decision.burst.entry_callers import stop_job_runs
+from sardineferry.decision.burst.entry_dispatch import handle_entry_event
+from sardineferry.decision.burst.other_runs import ReportingAgent
+from sardineferry.messages.burst import ENDED_DONE
+from sardineferry.messages.burst import JobTasks
+from sardineferry.messages.burst import OtherRuns
+from sardineferry.messages.burst import parse_task
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sardineferry.decision.burst.entry_state import ActiveJob
+    from sardineferry.decision.burst.entry_state import AgentView
+    from sardineferry.decision.burst.entry_state import BurstEntryState
+    from sardineferry.messages.burst import RunEnded
+    from sardineferry.messages.burst import RunRef
+
+__all__ = [
+    "add_unknown_runs",
+    "end_unknown_run",
+    "forget_lost_runs",
+    "forget_runs_before_restart",
+]
+
+
+@handle_entry_event.register(OtherRuns)
+def on_other_runs(
+    event: OtherRuns, state: BurstEntryState, sender: str, now_ms: int
+) -> None:
+    """Hold the jobs that run for other entries, until these runs have ended."""
+    view = state.agents.get(sender)
+    if view is None:
+        return
+    view.last_heard_ms = now_ms
+    agent = ReportingAgent(view.name, view.incarnation)
+    named_before = state.other_runs.forget(agent) if event.is_complete else []
+    for item in event.running:
+        state.other_runs.add(agent, item.job_id, item.tasks)
+        job = state.jobs.get(item.job_id)
+        if job is not None:
+            yield_to_entry(state, job, item.entry, now_ms)
+    for item in (*event.done, *event.lost):
+        state.other_runs.remove(agent, item.job_id, item.tasks)
+    for item in event.done:
+        mark_done(state, item, now_ms)
+    ended = [item.job_id for item in (*event.done, *event.lost)]
+    release_jobs(state, [*named_before, *ended], now_ms)
+
+
+def yield_to_entry(
+    state: BurstEntryState, job: ActiveJob, entry: str, now_ms: int
+) -> None:
+    """Hold a job that another entry runs; stop its own runs if that one goes first.
+
+    Both have started the job before they heard of each other. The entry with the lower
+    name goes on.
+    """
+    hold_job(state, job, entry)
+    if entry < state.name and any(task.status == "placed" for task in job.tasks):
+        fields: dict[str, object] = {
+            "job": job.job.job_id,
+            "entry": entry,
+            "active_ms": now_ms - job.arrived_ms,
+        }
+        state.effects.append(LogDecision("runs yield to another entry", fields))
+        stop_job_runs(state, job)
+
+
+def mark_done(state: BurstEntryState, item: JobTasks, now_ms: int) -> None:
+    """Mark waiting tasks as done that another entry has run, and finish their job."""
+    job = state.jobs.get(item.job_id)
+    if job is None:
+        return
+    for index in item.tasks:
+        if index < len(job.tasks) and job.tasks[index].status == "waiting":
+            job.tasks[index].advance("done")
+    finish_job_if_done(state, job, now_ms)
+
+
+def release_jobs(state: BurstEntryState, job_ids: list[str], now_ms: int) -> None:
+    """Let held jobs be placed that run for no other entry any more.
+
+    Each then has as much time to start as when it arrived.
+    """
+    for job_id in job_ids:
+        job = state.jobs.get(job_id)
+        if job is None or not job.is_held or job_id in state.other_runs:
+            continue
+        job.is_held = False
+        slack_ms = job.latest_start_ms - job.arrived_ms
+        job.latest_start_ms = max(job.latest_start_ms, now_ms + slack_ms)
+        state.placement_due = True
+        fields: dict[str, object] = {
+            "job": job_id,
+            "held_ms": now_ms - job.arrived_ms,
+            "waiting": len(job.waiting_tasks()),
+        }
+        state.effects.append(LogDecision("job released", fields))
+
+
+def add_unknown_runs(
+    state: BurstEntryState, view: AgentView, refs: Iterable[RunRef], now_ms: int
+) -> None:
+    """Hold the jobs of runs that an earlier process of this entry has ordered.
+
+    Their agent is stopping them.
+    """
+    agent = ReportingAgent(view.name, view.incarnation)
+    for ref in refs:
+        job_id, index = parse_task(ref.task)
+        state.other_runs.add(agent, job_id, (index,))
+        job = state.jobs.get(job_id)
+        if job is not None:
+            yield_to_entry(state, job, state.name, now_ms)
+
+
+def end_unknown_run(
+    state: BurstEntryState, view: AgentView, ended: RunEnded, now_ms: int
+) -> None:
+    """Record the end of a run that this process has not ordered."""
+    job_id, index = parse_task(ended.run.task)
+    if job_id not in state.other_runs:
+        return
+    agent = ReportingAgent(view.name, view.incarnation)
+    state.other_runs.remove(agent, job_id, (index,))
+    if ended.how == ENDED_DONE:
+        mark_done(state, JobTasks(job_id, state.name, (index,)), now_ms)
+    release_jobs(state, [job_id], now_ms)
+
+
+def forget_lost_runs(
+    state: BurstEntryState, view: AgentView, silent_ms: int, now_ms: int
+) -> None:
+    """Forget what an agent reported that has been silent for too long."""
+    if silent_ms <= timing.OTHER_RUNS_KEPT_MS:
+        return
+    for agent in state.other_runs.incarnations(view.name):
+        release_jobs(state, state.other_runs.forget(agent), now_ms)
+
+
+def forget_runs_before_restart(
+    state: BurstEntryState, view: AgentView, now_ms: int
+) -> None:
+    """Forget what earlier processes of an agent reported: their runs have ended."""
+    for agent in state.other_runs.incarnations(view.name):
+        if agent.incarnation != view.incarnation:
+            release_jobs(state, state.other_runs.forget(agent), now_ms)
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -14,6 +14,7 @@
 from sardineferry.decision.burst.config_relay import ConfigRelay
 from sardineferry.decision.burst.configuration import NO_CONFIGURATION
 from sardineferry.decision.burst.configuration import RouteTable
+from sardineferry.decision.burst.other_runs import KnownOtherRuns
 from sardineferry.decision.burst.requests import ReplyKind
 from sardineferry.decision.burst.requests import SubmitJob
 from sardineferry.decision.burst.slowdown import WorkerSlowdowns
@@ -188,8 +189,10 @@
         ]
         # True once a run has ended that a worker started or may have started.
         self.had_run = False
-        # True if an earlier submission, here or at another entry, may have run.
+        # True if another submission, here or at another entry, may have run.
         self.ran_before = earlier.may_have_run
+        # True while another entry runs tasks of the job.
+        self.is_held = False
 
     @property
     def step(self) -> BurstStep:
@@ -212,6 +215,8 @@
 
     def placeable_tasks(self) -> list[ActiveTask]:
         """Return the tasks that are not placed and may be placed now."""
+        if self.is_held:
+            return []
         return [task for task in self.waiting_tasks() if not task.earlier_runs]
 
     def count_earlier_run(self, index: int) -> None:
@@ -237,7 +242,12 @@
         return "unknown"
 
     def waiting_work(self) -> float:
-        """Return the work of the waiting tasks, in thousandths of a core times ms."""
+        """Return the work of the waiting tasks, in thousandths of a core times ms.
+
+        A held job needs no capacity.
+        """
+        if self.is_held:
+            return 0.0
         step = self.step
         return len(self.waiting_tasks()) * step.need.cpu * step.estimate_ms
 
@@ -406,6 +416,7 @@
         # True if a waiting task may fit that was new or did not fit at the last
         # placement.
         self.placement_due = False
+        self.other_runs = KnownOtherRuns()
         self.ended_jobs: OrderedDict[str, EndedJob] = OrderedDict()
         self.worker_slowdowns = WorkerSlowdowns()
         self.next_order = 1
--- a/src/sardineferry/decision/burst/timing.py
+++ b/src/sardineferry/decision/burst/timing.py
@@ -25,6 +25,7 @@
     "IDLE_ECHO_INTERVAL_MS",
     "IDLE_HEARTBEAT_INTERVAL_MS",
     "IDLE_SILENCE_LIMIT_MS",
+    "LASTING_RUN_MS",
     "LEASE_ENDED_AFTER_MS",
     "LEASE_MS",
     "LEASE_RENEWAL_MS",
@@ -34,6 +35,7 @@
     "MAX_LEASE_MS",
     "MAX_TICK_DELAY_MS",
     "ORDER_TTL_MS",
+    "OTHER_RUNS_KEPT_MS",
     "PAUSE_THRESHOLD_MS",
     "RESUBMIT_DELAY_MS",
     "RUNS_ENDED_AFTER_MS",
@@ -77,6 +79,10 @@
 FREQUENT_UPDATES_MS = 300
 # An entry with waiting jobs requests updates again before that time is over.
 FREQUENT_UPDATES_RENEWAL_MS = FREQUENT_UPDATES_MS * 2 // 3
+# An agent tells other entries at once of a run that should last this long, and of any
+# other once it has lasted this long. Most shorter runs are over before a copy of their
+# request can arrive.
+LASTING_RUN_MS = 200
 # An order also shows that its entry is alive. It expires when the entry would
 # count as lost if nothing followed.
 ORDER_TTL_MS = SILENCE_LIMIT_MS
@@ -90,3 +96,7 @@
 # This long after an agent's last timestamp arrived, or after the last order to it was
 # sent if that is later, all runs that were ordered there have ended.
 RUNS_ENDED_AFTER_MS = SILENCE_LIMIT_MS + MAX_TICK_DELAY_MS + LEASE_ENDED_AFTER_MS
+# An entry assumes for this long after an agent's last message that the runs of other
+# entries that it has reported go on. If the agent is lost, these have then ended, and
+# those that their entries have ordered elsewhere have been reported.
+OTHER_RUNS_KEPT_MS = RUNS_ENDED_AFTER_MS + 2 * LASTING_RUN_MS
--- a/src/sardineferry/messages/burst.py
+++ b/src/sardineferry/messages/burst.py
@@ -30,6 +30,8 @@
     "EntryLeft",
     "EntryWelcome",
     "HeldRuns",
+    "JobTasks",
+    "OtherRuns",
     "Resources",
     "RunEnded",
     "RunRef",
@@ -39,6 +41,7 @@
     "WorkerAnnounce",
     "WorkerProfile",
     "WorkerRoom",
+    "parse_task",
 ]
 
 ENDED_DONE = "done"
@@ -97,6 +100,12 @@
     attempt: int
 
 
+def parse_task(task: str) -> tuple[str, int]:
+    """Return the id of a task's job, and the task's index."""
+    job_id, _, place = task.partition(".")
+    return job_id, int(place.rpartition(".")[2])
+
+
 class WorkerAnnounce(NamedTuple):
     """Agent to entry, first on a link: who the agent is.
 
@@ -242,6 +251,28 @@
     last_order: int
 
 
+class JobTasks(NamedTuple):
+    """Tasks of one job, by index, whose runs were ordered by one entry."""
+
+    job_id: str
+    entry: str
+    tasks: tuple[int, ...]
+
+
+class OtherRuns(NamedTuple):
+    """Agent to entry: runs at its worker that other entries have ordered.
+
+    Only runs that last are reported. ``running`` are new ones; ``done`` and ``lost``
+    are those reported before that have ended, with the outcome done or with any other.
+    The first report on a link ``is_complete``: it lists all that go on.
+    """
+
+    running: tuple[JobTasks, ...]
+    done: tuple[JobTasks, ...] = ()
+    lost: tuple[JobTasks, ...] = ()
+    is_complete: bool = False
+
+
 class EntryLeft(NamedTuple):
     """Entry to agent: the entry stops; its address need not be dialled soon."""
 
@@ -289,6 +320,7 @@
     | EntryLeft
     | EntryWelcome
     | HeldRuns
+    | OtherRuns
     | RunEnded
     | StartRuns
     | StopRuns
--- a/tests/decision/burst/joined.py
+++ b/tests/decision/burst/joined.py
@@ -327,14 +327,18 @@
         # Open links by agent and entry, each with a number that a new link changes.
         self.links: dict[tuple[str, str], int] = {}
         for name in entries:
-            state = BurstEntryState(
-                name, "i", "dc", 6_000, self.decode, random.Random(1)
-            )
-            self.cores[name] = BurstEntryCore(state)
-            self.next_tick_ms[name] = self.now_ms
+            self.start_entry(name, "i")
             self.handle(name, ConfigurationRead(b"1"))
         self.entries = entries
 
+    def start_entry(self, name: str, incarnation: str) -> None:
+        """Start an entry without a configuration and links."""
+        state = BurstEntryState(
+            name, incarnation, "dc", 6_000, self.decode, random.Random(1)
+        )
+        self.cores[name] = BurstEntryCore(state)
+        self.next_tick_ms[name] = self.now_ms
+
     def decode(self, text: bytes) -> Result[Configuration, str]:
         return Success(Configuration(1, (self.route,), EdgeLimits(), text))
 
@@ -370,6 +374,13 @@
             if entry in self.cores:
                 self.open_link(name, entry)
 
+    def restart_entry(self, name: str) -> None:
+        """Start a killed entry again, which has yet to read its configuration."""
+        self.start_entry(name, f"i{next(self.sequence)}")
+        for agent in self.workers:
+            if agent in self.cores:
+                self.open_link(agent, name)
+
     def open_link(self, agent: str, entry: str) -> None:
         """Open a link; it replaces an earlier one whose end the entry has not read."""
         self.links[agent, entry] = next(self.sequence)
--- a/tests/decision/burst/test_late_copies.py
+++ b/tests/decision/burst/test_late_copies.py
@@ -4,13 +4,16 @@
 
 import pytest
 
+from sardineferry.decision.burst.entry import BurstEntryCore
 from sardineferry.decision.burst.requests import BurstReply
 from sardineferry.decision.burst.requests import CallerLeft
 from sardineferry.decision.burst.requests import CancelJob
+from sardineferry.decision.burst.requests import ConfigurationRead
 from sardineferry.decision.burst.requests import ReplyKind
 from sardineferry.decision.common_events import Drain
 from sardineferry.decision.common_events import LinkDown
 from sardineferry.messages.burst import RunEnded
+from tests.decision.burst.drive import NEED
 from tests.decision.burst.drive import TOTAL
 from tests.decision.burst.drive import EntryDriver
 from tests.decision.burst.drive import job
@@ -22,6 +25,16 @@
 
 RUN_MS = 2_000
 RETRANSMIT_MS = 1_300
+# By then a run has been reported to all entries: it should last, so that takes an order
+# and a report.
+REPORTED_MS = 5
+# A worker has then ended a run whose stop was ordered when it was reported.
+STOPPED_MS = REPORTED_MS + 50
+# How long a run whose agent is silent may count as going on: the bound for lost agents,
+# and twice the time after which a run is reported.
+KEPT_MS = 1_266 + 2 * 200
+# Orders to start runs are not late by more than a tick.
+AT_ONCE_MS = 20
 LATE_COPY_MS = 2_000
 # How long an entry remembers an ended job.
 RETENTION_MS = 60_000
@@ -127,3 +140,230 @@
     assert joined.replies_to(2) == [ReplyKind.COMPLETED]
     assert joined.replies_to(3) == [ReplyKind.COMPLETED]
     assert [run.run for run in joined.runs()[:2]] == [ref(0), ref(1)]
+
+
+def make_fleet(entries: str = "efg", run_ms: int = RUN_MS) -> JoinedCores:
+    """Return entries and two agents that have linked to all of them."""
+    joined = JoinedCores(entries, route())
+    joined.add_agent("a", TOTAL, run_ms)
+    joined.add_agent("b", TOTAL, run_ms)
+    joined.advance_time(WARM_UP_MS)
+    return joined
+
+
+def lose_answer(joined: JoinedCores, end: str) -> None:
+    """Let the first submission, at ``e``, end so that its caller got no answer."""
+    submitted = submit(1, JOB)
+    if end == "forgotten":
+        joined.handle("e", submitted)
+        joined.advance_time(RUN_MS + 100)
+        core = joined.cores["e"]
+        assert isinstance(core, BurstEntryCore)
+        core.state.ended_jobs.clear()
+    elif end == "completed":
+        joined.handle("e", submitted)
+        joined.advance_time(RUN_MS + 100)
+    elif end == "caller left":
+        joined.handle("e", submitted)
+        joined.advance_time(500)
+        joined.handle("e", CallerLeft(1))
+    elif end == "killed":
+        joined.handle("e", submitted)
+        joined.advance_time(500)
+        joined.kill("e")
+    elif end == "failed":
+        joined.handle("e", submitted)
+        joined.advance_time(100)
+        for _ in range(route().attempts):
+            for worker in joined.workers.values():
+                for run in list(worker.run_start_ms):
+                    worker.end(run, "failed")
+            joined.advance_time(100)
+        assert joined.replies_to(1) == [ReplyKind.FAILED]
+
+
+@pytest.mark.parametrize(
+    "end",
+    ["completed", "failed", "caller left", "killed", "forgotten", "never submitted"],
+)
+@pytest.mark.parametrize(
+    "place",
+    ["the same entry", "a third entry", "restarted", "restarted without configuration"],
+)
+def test_late_copy_at_any_entry_never_meets_the_runs_of_the_second_submission(
+    end: str, place: str
+) -> None:
+    """Guards against an entry starting a job that it doesn't know beside its runs."""
+    joined = make_fleet()
+    lose_answer(joined, end)
+    if place.startswith("restarted") and "e" in joined.cores:
+        joined.kill("e")
+    joined.advance_time(RETRANSMIT_MS)
+    if "e" not in joined.cores:
+        joined.restart_entry("e")
+        if place != "restarted without configuration":
+            joined.handle("e", ConfigurationRead(b"1"))
+    joined.handle("f", submit(2, JOB))
+    joined.advance_time(LATE_COPY_MS - RETRANSMIT_MS)
+    joined.handle("g" if place == "a third entry" else "e", submit(3, JOB))
+    joined.advance_time(100)
+    if place == "restarted without configuration":
+        joined.handle("e", ConfigurationRead(b"1"))
+    joined.advance_time(2 * RUN_MS)
+    assert joined.simultaneous_runs() == []
+    assert joined.replies_to(2) == [ReplyKind.COMPLETED]
+    known = place == "the same entry" and end == "failed"
+    expected = ReplyKind.FAILED if known else ReplyKind.COMPLETED
+    assert joined.replies_to(3) == [expected]
+
+
+@pytest.mark.parametrize("entry", "fg")
+def test_held_copy_is_answered_by_the_runs_of_the_other_entry(entry: str) -> None:
+    """Guards against running a job again that is done elsewhere meanwhile."""
+    joined = make_fleet()
+    joined.handle("e", submit(1, JOB))
+    joined.advance_time(REPORTED_MS)
+    joined.handle(entry, submit(2, JOB))
+    joined.advance_time(RUN_MS)
+    assert joined.replies_to(2) == [ReplyKind.COMPLETED]
+    assert len(joined.runs()) == JOB.steps[0].tasks
+
+
+@pytest.mark.parametrize("link", [("a", "f"), ("b", "f")])
+def test_held_copy_stays_held_while_a_link_is_replaced(link: tuple[str, str]) -> None:
+    """Guards against forgetting reported runs with the link that told of them."""
+    joined = make_fleet()
+    joined.handle("e", submit(1, JOB))
+    joined.advance_time(REPORTED_MS)
+    joined.handle("f", submit(2, JOB))
+    joined.break_link(*link)
+    joined.advance_time(100)
+    joined.report_break("f", link[0])
+    joined.advance_time(300)
+    joined.open_link(*link)
+    joined.advance_time(RUN_MS)
+    assert joined.replies_to(2) == [ReplyKind.COMPLETED]
+    assert len(joined.runs()) == JOB.steps[0].tasks
+
+
+@pytest.mark.parametrize("end", ["killed", "caller left", "restarted"])
+def test_runs_of_a_lost_submission_do_not_delay_the_next_one(end: str) -> None:
+    """Guards against holding a job whose caller is owed its run."""
+    joined = make_fleet()
+    joined.handle("e", submit(1, JOB))
+    joined.advance_time(REPORTED_MS)
+    if end == "caller left":
+        joined.handle("e", CallerLeft(1))
+    else:
+        joined.kill("e")
+    if end == "restarted":
+        joined.advance_time(100)
+        joined.restart_entry("e")
+        joined.handle("e", ConfigurationRead(b"1"))
+    joined.advance_time(RETRANSMIT_MS)
+    submitted_ms = joined.now_ms
+    joined.handle("e" if end == "restarted" else "f", submit(2, JOB))
+    joined.advance_time(AT_ONCE_MS)
+    later = [run for run in joined.runs() if run.start_ms >= submitted_ms]
+    assert [run.run.task for run in later] == [ref(0).task, ref(1).task]
+    assert joined.simultaneous_runs() == []
+
+
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_copy_is_held_no_longer_than_lost_runs_can_last(is_restarted: bool) -> None:
+    """Guards against holding a job for good whose runs were lost with their agent."""
+    joined = make_fleet(run_ms=3 * RUN_MS)
+    joined.handle("e", submit(1, JOB))
+    joined.advance_time(REPORTED_MS)
+    agent = joined.runs()[0].agent
+    joined.kill(agent)
+    joined.kill("e")
+    joined.workers[agent].crash()
+    killed_ms = joined.now_ms
+    if is_restarted:
+        joined.advance_time(200)
+        joined.restart_agent(agent)
+        joined.workers[agent].restart()
+        joined.workers[agent].report()
+    joined.advance_time(RETRANSMIT_MS - (joined.now_ms - killed_ms))
+    joined.handle("f", submit(2, JOB))
+    joined.advance_time(KEPT_MS + 100 - RETRANSMIT_MS)
+    later = [run for run in joined.runs() if run.start_ms > killed_ms]
+    assert [run.run.task for run in later] == [ref(0).task, ref(1).task]
+
+
+def test_two_entries_that_order_at_once_soon_agree_on_one() -> None:
+    """Guards against both runs going on to their end; some milliseconds remain."""
+    joined = make_fleet("ef")
+    # Each knows one agent when it orders.
+    for link in (("a", "f"), ("b", "e")):
+        joined.break_link(*link)
+        joined.report_break(link[1], link[0])
+    joined.handle("e", submit(1, JOB))
+    joined.handle("f", submit(2, JOB))
+    for link in (("a", "f"), ("b", "e")):
+        joined.open_link(*link)
+    joined.advance_time(2 * RUN_MS)
+    met = joined.simultaneous_runs()
+    assert all(second.end_ms is not None for _, second in met)
+    overlaps = [
+        min(first.end_ms or 0, second.end_ms or 0) - second.start_ms
+        for first, second in met
+    ]
+    assert 0 < max(overlaps) <= STOPPED_MS
+    assert joined.replies_to(1) == [ReplyKind.COMPLETED]
+    assert joined.replies_to(2) == [ReplyKind.COMPLETED]
+    lasted_ms = [(run.end_ms or 0) - run.start_ms for run in joined.runs()]
+    assert lasted_ms.count(RUN_MS) == JOB.steps[0].tasks
+
+
+def test_job_that_waits_for_room_is_not_started_beside_its_runs_elsewhere() -> None:
+    """Guards against an entry that looks for other runs on arrival only."""
+    joined = JoinedCores("ef", route(goal_ms=60, slack_factor=2.0))
+    joined.add_agent("a", NEED, RUN_MS)
+    joined.advance_time(WARM_UP_MS)
+    joined.handle("f", submit(1, job(9, estimate_ms=RUN_MS)))
+    joined.advance_time(10)
+    joined.handle("e", submit(2, job(estimate_ms=RUN_MS)))
+    joined.break_link("a", "e")
+    joined.add_agent("b", NEED, RUN_MS)
+    joined.break_link("b", "e")
+    joined.handle("f", submit(3, job(estimate_ms=RUN_MS)))
+    joined.advance_time(REPORTED_MS)
+    joined.open_link("b", "e")
+    joined.add_agent("c", TOTAL, RUN_MS)
+    joined.advance_time(2 * RUN_MS)
+    assert joined.simultaneous_runs() == []
+    assert joined.replies_to(2) == [ReplyKind.COMPLETED]
+
+
+@pytest.mark.parametrize(
+    ("state", "replies"),
+    [
+        ("draining", [ReplyKind.NO_ANSWER]),
+        ("no agents", [ReplyKind.NO_ANSWER]),
+        # It gets the configuration from the agents, and holds the job.
+        ("without configuration", []),
+    ],
+)
+def test_copy_of_a_job_that_runs_elsewhere_is_never_said_to_be_not_run(
+    state: str, replies: list[ReplyKind]
+) -> None:
+    """Guards against a 503 for a job that runs at another entry."""
+    joined = make_fleet(run_ms=4 * RUN_MS)
+    submitted = job(tasks=2, estimate_ms=4 * RUN_MS)
+    joined.handle("e", submit(1, submitted))
+    joined.advance_time(REPORTED_MS)
+    if state == "without configuration":
+        joined.kill("f")
+        joined.restart_entry("f")
+        joined.advance_time(100)
+    if state == "draining":
+        joined.handle("f", Drain("SIGTERM"))
+    if state == "no agents":
+        for agent in "ab":
+            joined.break_link(agent, "f")
+            joined.report_break("f", agent)
+    joined.handle("f", submit(2, submitted))
+    joined.advance_time(1_000)
+    assert joined.replies_to(2) == replies
