Let copies be answered by the runs of other entries that are done

Cause: mostly short runs, of which no entry but their own was told, as no copy was to meet them; but the second submission of a job starts such runs seconds after the first, just when copies come. Some were held copies that two entries released at the same moment.

A copy whose tasks are all done elsewhere is answered `completed` and starts nothing, so the second submission no longer runs a completed job again. A job that was submitted or held before is ordered as a repeat, and its runs are told at once however short, as is a run that another entry's order waits for. Reports of the last 2 s are repeated on a new link. Held copies are released one entry after the other.

Why this works: what a copy can meet is either a run that lasts, which is told with its start, or a run of a repeated job, which is now either not started or told as well.

Simulation: callers of bench.virtual lose a share of the answers, and copies of requests come 1 to 4 s after the answer to any entry; entries are killed; five new mixes.

Soak: its callers lose answers and send copies as well.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -12,7 +12,9 @@
 their id, and delays their heartbeats and answers; ``errors`` has error statuses in
 answers to starts that were carried out; ``starved`` takes the processor from programs
 and kills others meanwhile; ``combined`` has all these. Callers that give up early
-(``--impatience``) submit their job again to another entry. ``--keep-logs`` keeps the
+(``--impatience``) submit their job again to another entry. Some answers are lost, so
+that their caller submits the job again (``--lost-answers``), and copies of requests
+arrive seconds after the answer, at any entry (``--copies``). ``--keep-logs`` keeps the
 logs of a failed seed.
 """
 
@@ -49,6 +51,8 @@
 # how soon after the last fault entries have to serve again.
 RESUBMIT_DELAY_S = 1.3
 MAX_RECOVERY_S = 12.0
+# Copies of a request arrive seconds after its answer.
+COPY_DELAY_S = (1.0, 4.0)
 # Time after which a caller gives up early.
 PATIENCE_S = (0.2, 1.0)
 # Processor time of short tasks, and of those that may outlast the wait of a caller
@@ -60,6 +64,7 @@
 HUNG = -1
 # Submissions of a job before its caller gives up.
 MAX_SUBMISSIONS = 6
+HTTP_OK = 200
 REFUSED_STATUSES = (429, 503)
 LOST_OUTCOMES = (ENDED_LOST, ENDED_REFUSED)
 
@@ -115,11 +120,20 @@
         self.records: list[JobRecord] = []
         # What the caller did, with times of the clock that logs use.
         self.log: list[str] = []
+        # Draws which answers are lost and which requests are copied.
+        self.copy_random = random.Random(f"{plan.seed} copies {number}")
+        self.lost_answers = plan.lost_answers
+        self.copied = plan.copies
+        self.copies: list[LateCopy] = []
 
     def run(self) -> None:
-        """Submit jobs until stopped."""
+        """Submit jobs until stopped, then wait for the copies."""
         while not self.stopped.is_set():
             self.submit_job(f"{self.number:04x}{len(self.records):012x}")
+        for copy in self.copies:
+            copy.join()
+            self.records.extend(copy.records)
+            self.log.extend(copy.log)
 
     def submit_job(self, job_id: str) -> None:
         """Submit a job until it is answered, and record the statuses."""
@@ -136,6 +150,9 @@
                 time.sleep(RESUBMIT_DELAY_S)
             sent_s = time.time()
             status, state = self.send_job(job_id, job)
+            if status == HTTP_OK:
+                self.draw_copy(job_id, tasks, job)
+                status = self.draw_loss(status)
             statuses.append(status)
             self.log.append(
                 f"{sent_s:.3f}-{time.time():.3f} {job_id} at {self.address}: {status}"
@@ -147,6 +164,23 @@
         if statuses[-1] in REFUSED_STATUSES:
             self.stopped.wait(self.random.uniform(0.05, 0.3))
 
+    def draw_copy(self, job_id: str, tasks: int, job: dict[str, object]) -> None:
+        """Let a copy of some answered requests arrive later."""
+        if self.copy_random.random() >= self.copied:
+            return
+        address = self.fleet.entry_address(self.copy_random.randrange(self.entries))
+        delay_s = self.copy_random.uniform(*COPY_DELAY_S)
+        copy = LateCopy(address, delay_s, job_id, tasks, job)
+        self.copies.append(copy)
+        copy.start()
+
+    def draw_loss(self, status: int) -> int:
+        """Return the status of an answer, which some callers never read."""
+        if self.copy_random.random() >= self.lost_answers:
+            return status
+        self.close_connection()
+        return NO_ANSWER
+
     def send_job(self, job_id: str, job: dict[str, object]) -> tuple[int, str]:
         """Send a job on the open connection, or on a new one to a random entry.
 
@@ -198,6 +232,56 @@
         self.connection = None
 
 
+class LateCopy(threading.Thread):
+    """Sends a copy of a request once, some time after its answer."""
+
+    def __init__(
+        self,
+        address: str,
+        delay_s: float,
+        job_id: str,
+        tasks: int,
+        job: dict[str, object],
+    ) -> None:
+        """Set the copy to be sent, and to which entry."""
+        super().__init__(daemon=True)
+        self.address = address
+        self.delay_s = delay_s
+        self.job_id = job_id
+        self.tasks = tasks
+        self.job = job
+        self.records: list[JobRecord] = []
+        self.log: list[str] = []
+
+    def run(self) -> None:
+        """Send the copy after the delay, and record how it was answered.
+
+        A refusal is not recorded: it says nothing of the request before.
+        """
+        time.sleep(self.delay_s)
+        sent_s = time.time()
+        headers = {"Host": HOST_NAME}
+        path = PATH_PREFIX + self.job_id
+        try:
+            status, body = call_json(
+                self.address, "POST", path, self.job, HUNG_TIMEOUT_S, headers
+            )
+            state = (body or {}).get("State", "")
+        except TimeoutError:
+            status, state = HUNG, "hung"
+        except (OSError, http.client.HTTPException):
+            status, state = NO_ANSWER, ""
+        self.log.append(
+            f"{sent_s:.3f}-{time.time():.3f} {self.job_id} copy at {self.address}:"
+            f" {status} {state}"
+        )
+        if status not in REFUSED_STATUSES:
+            answered_ms = time.monotonic_ns() // 1_000_000
+            self.records.append(
+                JobRecord(self.job_id, self.tasks, (status,), state, answered_ms)
+            )
+
+
 def collect_runs(fleet: SoakFleet) -> list[WorkerRun]:
     """Return all runs that worker stand-ins have recorded."""
     return [
@@ -280,7 +364,7 @@
             for caller in callers:
                 caller.stopped.set()
             for caller in callers:
-                caller.join(2 * HUNG_TIMEOUT_S)
+                caller.join(2 * HUNG_TIMEOUT_S + COPY_DELAY_S[1])
             records = [record for caller in callers for record in caller.records]
             broken_promises += find_broken_promises(records, collect_runs(fleet))
             broken_promises += fleet.breaches()
@@ -372,6 +456,8 @@
     parser.add_argument("--faults", choices=FAULT_MIXES, default="mixed")
     parser.add_argument("--long-tasks", type=float, default=0.0)
     parser.add_argument("--impatience", type=float, default=0.0)
+    parser.add_argument("--copies", type=float, default=SoakPlan(0).copies)
+    parser.add_argument("--lost-answers", type=float, default=SoakPlan(0).lost_answers)
     parser.add_argument("--keep-logs", type=Path)
     arguments = parser.parse_args()
     failed_seeds = 0
@@ -386,6 +472,8 @@
                 arguments.faults,
                 arguments.long_tasks,
                 arguments.impatience,
+                arguments.copies,
+                arguments.lost_answers,
             ),
             arguments.keep_logs,
         )
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -127,6 +127,10 @@
     long_tasks: float = 0.0
     # The share of submissions whose caller gives up early.
     impatience: float = 0.0
+    # The share of answered jobs of which a copy arrives later, at any entry, and the
+    # share of answers that are lost, so that their caller submits the job again.
+    copies: float = 0.3
+    lost_answers: float = 0.1
 
 
 class SoakFleet(DeployedFleet):
--- a/bench/virtual/burst_faults.py
+++ b/bench/virtual/burst_faults.py
@@ -16,12 +16,15 @@
 from bench.virtual.burst_load import PausePoint
 
 if TYPE_CHECKING:
+    import random
+
     from bench.virtual.burst_load import BurstSimulation
     from bench.virtual.burst_load import Node
 
 __all__ = [
     "CallerReset",
     "Kill",
+    "LateCopies",
     "LinkReset",
     "Pause",
     "PauseInPass",
@@ -31,6 +34,32 @@
 
 # The ends of a reset connection usually learn of it within this time.
 USUAL_DELAY_MS = 2.0
+# The platform says that a copy arrives seconds after the answer.
+COPY_DELAY_MS = (1_000.0, 4_000.0)
+
+
+class LateCopies(NamedTuple):
+    """From now on copies of answered requests arrive, at any entry.
+
+    ``copied`` is the share of the requests with a copy, and ``lost`` that of the
+    answers that are lost, so that the caller submits its job again.
+    """
+
+    start_ms: int
+    copied: float = 0.5
+    lost: float = 0.2
+
+    def apply(self, simulation: BurstSimulation) -> None:
+        """Let the simulation ask for each answer."""
+        simulation.copy_policy = self
+
+    def loses_answer(self, rng: random.Random) -> bool:
+        """Return whether the answer is lost with its connection."""
+        return rng.random() < self.lost
+
+    def draw_copy_delay_ms(self, rng: random.Random) -> float | None:
+        """Return when after the answer a copy arrives, or None if none does."""
+        return rng.uniform(*COPY_DELAY_MS) if rng.random() < self.copied else None
 
 
 class LinkReset(NamedTuple):
--- a/bench/virtual/burst_load.py
+++ b/bench/virtual/burst_load.py
@@ -81,6 +81,7 @@
     "Burst",
     "BurstSimulation",
     "Choke",
+    "CopyPolicy",
     "DeploymentSize",
     "EntryNode",
     "Fault",
@@ -125,6 +126,8 @@
 # The platform shortens longer leases to this.
 MAX_HOLD_MS = 1_000
 WORKER_ID = "w"
+# Copies of a request may arrive after these replies.
+ANSWERED_ONCE = (ReplyKind.COMPLETED, ReplyKind.FAILED)
 
 
 class JobKind(NamedTuple):
@@ -946,12 +949,26 @@
 
 
 class Caller(NamedTuple):
-    """A caller that waits at an entry; ``request`` is the token of its first try."""
+    """A caller that waits at an entry; ``request`` is the token of its first try.
+
+    Nobody waits for the answer to a copy of a request.
+    """
 
     request: int
     path: str
     job: BurstJob
     entry: EntryNode
+    is_copy: bool = False
+
+
+class CopyPolicy(Protocol):
+    """Decides what becomes of an answer, and which copies of a request arrive."""
+
+    def loses_answer(self, rng: random.Random) -> bool:
+        """Return whether the answer is lost with its connection."""
+
+    def draw_copy_delay_ms(self, rng: random.Random) -> float | None:
+        """Return when after the answer a copy arrives, or None if none does."""
 
 
 class LinkState:
@@ -997,6 +1014,7 @@
         # With faults, callers that get no answer submit again, and links break.
         self.has_faults = False
         self.callers: dict[int, Caller] = {}
+        self.copy_policy: CopyPolicy | None = None
         self.next_token = FIRST_TOKEN_OF_RETURNS
         self.links: dict[tuple[str, str], LinkState] = {}
         # Decisions and lost messages, with their times and processes, if recorded.
@@ -1185,8 +1203,16 @@
         With faults, a caller that gets no answer submits its job again.
         """
         caller = self.callers.pop(effect.token, None)
-        if caller is None:
+        if caller is None or caller.is_copy:
             return
+        if self.copy_policy is not None and effect.kind in ANSWERED_ONCE:
+            delay_ms = self.copy_policy.draw_copy_delay_ms(self.fault_random)
+            if delay_ms is not None:
+                copy = caller._replace(is_copy=True)
+                self.clock.run_after(delay_ms, partial(self.submit_again, copy))
+            if self.copy_policy.loses_answer(self.fault_random):
+                self.submit_again_later(caller)
+                return
         if self.has_faults and effect.kind is ReplyKind.NO_ANSWER:
             self.submit_again_later(caller)
             return
@@ -1195,6 +1221,8 @@
     def break_caller(self, token: int, entry_delay_ms: float) -> None:
         """Break a caller's connection; its entry learns of it later."""
         caller = self.callers.pop(token)
+        if caller.is_copy:
+            return
         tell = partial(caller.entry.handle, CallerLeft(token), "", f"caller {token}")
         self.clock.run_after(entry_delay_ms, tell)
         self.submit_again_later(caller)
@@ -1215,7 +1243,8 @@
     def send_job(self, token: int, caller: Caller) -> None:
         """Send a caller's job to its entry."""
         if caller.entry.is_killed:
-            self.submit_again_later(caller)
+            if not caller.is_copy:
+                self.submit_again_later(caller)
             return
         self.callers[token] = caller
         event = SubmitJob(token, HOST, caller.path, caller.job)
--- a/bench/virtual/two_runs.py
+++ b/bench/virtual/two_runs.py
@@ -15,6 +15,7 @@
 
 from bench.virtual.burst_faults import CallerReset
 from bench.virtual.burst_faults import Kill
+from bench.virtual.burst_faults import LateCopies
 from bench.virtual.burst_faults import LinkReset
 from bench.virtual.burst_faults import PauseInPass
 from bench.virtual.burst_faults import StrayReport
@@ -31,9 +32,11 @@
 if TYPE_CHECKING:
     from bench.virtual.burst_load import Fault
 
-__all__ = ["MIXES", "Overlap", "find_overlaps"]
+__all__ = ["ALL_LINKED", "MIXES", "Overlap", "find_overlaps"]
 
 SIZE = DeploymentSize(entries=4, workers=12, utilization=0.4)
+# One entry in each data centre, so that each agent is linked to all entries.
+ALL_LINKED = SIZE._replace(entries=3)
 LOAD_MS = 8_000
 FIRST_FAULT_MS = 500
 # Mean time between two faults of a kind.
@@ -41,6 +44,7 @@
 PAUSE_MS = (200, 1_600)
 CRASH_DOWN_MS = (1, 150)
 REPORT_DELAY_MS = (50, 1_000)
+ENTRY_RESTART_MS = (300, 2_500)
 AGENT_RESTART_MS = (100, 1_500)
 
 # The kinds of faults that are drawn together.
@@ -52,6 +56,10 @@
     "stray reports": ("stray",),
     "pauses, agents killed": ("pause with callers and kill",),
     "workers crash, agents killed": ("crash", "kill"),
+    "late copies": ("copies",),
+    "late copies, entries killed": ("copies", "kill entry"),
+    "late copies, links reset": ("copies", "links"),
+    "late copies, callers return": ("copies", "return"),
     "all but stray reports": (
         "pause with callers",
         "pause with callers and kill",
@@ -59,6 +67,15 @@
         "kill",
         "links",
     ),
+    "late copies, all": (
+        "copies",
+        "pause with callers",
+        "pause with callers and kill",
+        "crash",
+        "kill",
+        "kill entry",
+        "links",
+    ),
 }
 
 STOPS = {
@@ -96,6 +113,9 @@
         """Draw all faults of these kinds, in random order of time."""
         faults: list[Fault] = []
         for kind in kinds:
+            if kind == "copies":
+                faults.append(LateCopies(0))
+                continue
             at_ms = float(FIRST_FAULT_MS)
             while at_ms < LOAD_MS:
                 faults += self.draw_one(kind, int(at_ms))
@@ -114,6 +134,12 @@
                 ]
             case "kill":
                 return [Kill(at_ms, agent, rng.randint(*AGENT_RESTART_MS))]
+            case "kill entry":
+                entry = rng.choice(self.entries)
+                return [Kill(at_ms, entry, rng.randint(*ENTRY_RESTART_MS))]
+            case "return":
+                entry = rng.choice(self.entries)
+                return [CallerReset(at_ms, entry, 0.5, max_entry_delay_ms=2_000)]
             case "links":
                 return [LinkReset(at_ms, share=0.3, max_entry_delay_ms=50)]
             case "stray":
@@ -134,9 +160,9 @@
         return faults
 
 
-def find_overlaps(mix: str, seed: int) -> list[Overlap]:
+def find_overlaps(mix: str, seed: int, size: DeploymentSize = SIZE) -> list[Overlap]:
     """Simulate the faults of a mix and a seed; return the overlapping runs."""
-    simulation = BurstSimulation(SIZE, DEFAULT_HETEROGENEITY, seed, SLOWEST_WORKERS)
+    simulation = BurstSimulation(size, DEFAULT_HETEROGENEITY, seed, SLOWEST_WORKERS)
     simulation.history = []
     faults = Drawer(simulation, seed).draw(MIXES[mix])
     run_simulation(simulation, (), (), LOAD_MS, faults)
@@ -198,7 +224,9 @@
 
 
 @app.default
-def main(*, mix: str = "", first: int = 1, seeds: int = 50, show: int = 3) -> None:
+def main(
+    *, mix: str = "", first: int = 1, seeds: int = 50, show: int = 3, entries: int = 4
+) -> None:
     """Simulate seeds of each mix, or of one.
 
     Args:
@@ -206,13 +234,14 @@
         first: The first seed.
         seeds: The number of seeds.
         show: The number of overlaps that are shown of each mix.
+        entries: The number of entries, in three data centres.
 
     """
     for name in [mix] if mix else MIXES:
         overlaps_by_seed = {
             seed: found
             for seed in range(first, first + seeds)
-            if (found := find_overlaps(name, seed))
+            if (found := find_overlaps(name, seed, SIZE._replace(entries=entries)))
         }
         overlaps = [item for found in overlaps_by_seed.values() for item in found]
         print(
--- a/src/sardineferry/decision/burst/agent.py
+++ b/src/sardineferry/decision/burst/agent.py
@@ -55,7 +55,7 @@
         This starts no runs: ``handle`` starts them as soon as they are ordered.
         """
         agent_worker.request_hold(self.state, now_ms)
-        agent_other_runs.report_changes(self.state)
+        agent_other_runs.report_changes(self.state, now_ms)
         agent_links.send_due_capacity_updates(self.state, now_ms)
         return self.take_effects()
 
--- a/src/sardineferry/decision/burst/agent_other_runs.py
+++ b/src/sardineferry/decision/burst/agent_other_runs.py
@@ -23,39 +23,82 @@
     from sardineferry.decision.burst.agent_state import EntryView
     from sardineferry.decision.burst.agent_state import Run
 
-__all__ = ["find_lasting_runs", "record_start", "report_all_runs", "report_changes"]
+__all__ = [
+    "add_to_report",
+    "find_lasting_runs",
+    "record_end",
+    "record_start",
+    "report_all_runs",
+    "report_changes",
+]
 
+# Done runs of this age are reported again on a new link. An agent dials again in less,
+# and what it sends stays small.
+DONE_RESEND_WINDOW_MS = 2_000
 
-def record_start(state: BurstAgentState, run: Run) -> None:
-    """Let a run that should last be reported at the end of the pass."""
-    if run.estimate_ms >= timing.LASTING_RUN_MS:
+
+def record_start(state: BurstAgentState, run: Run, is_repeat: bool) -> None:
+    """Let a run that should last, or of a repeated job, be reported with this pass."""
+    if is_repeat or run.estimate_ms >= timing.LASTING_RUN_MS:
+        add_to_report(state, run)
+
+
+def add_to_report(state: BurstAgentState, run: Run) -> None:
+    """Let a run be reported at the end of the pass, unless it was reported before."""
+    if not run.is_reported:
         run.is_reported = True
         state.unreported_runs.append(run)
 
 
+def record_end(state: BurstAgentState, run: Run, how: str, now_ms: int) -> None:
+    """Let the end of a run be reported: of a short one only if it is done, and later.
+
+    Copies of its request are then answered without another run.
+    """
+    if how == ENDED_DONE:
+        state.recent_done.append((now_ms, run))
+    if run.is_reported:
+        state.unreported_ends.append((run, how))
+    elif how == ENDED_DONE:
+        state.unreported_short_runs.append(run)
+        if state.short_runs_due_ms is None:
+            state.short_runs_due_ms = now_ms + timing.SHORT_RUN_REPORT_DELAY_MS
+
+
 def find_lasting_runs(state: BurstAgentState, now_ms: int) -> None:
     """Let runs that have lasted longer than they should be reported."""
     for run in state.runs.values():
-        if not run.is_reported and now_ms - run.ordered_ms >= timing.LASTING_RUN_MS:
-            run.is_reported = True
-            state.unreported_runs.append(run)
+        if now_ms - run.ordered_ms >= timing.LASTING_RUN_MS:
+            add_to_report(state, run)
 
 
-def report_changes(state: BurstAgentState) -> None:
-    """Report runs that have begun to last, and the ends of such runs."""
-    if not state.unreported_runs and not state.unreported_ends:
+def report_changes(state: BurstAgentState, now_ms: int) -> None:
+    """Report lasting runs and their ends at once, with the short runs that are done."""
+    is_due = state.short_runs_due_ms is not None and now_ms >= state.short_runs_due_ms
+    if not state.unreported_runs and not state.unreported_ends and not is_due:
         return
     running, state.unreported_runs = state.unreported_runs, []
     ends, state.unreported_ends = state.unreported_ends, []
-    done = group_by_job(run for run, how in ends if how == ENDED_DONE)
+    short, state.unreported_short_runs = state.unreported_short_runs, []
+    state.short_runs_due_ms = None
+    done = group_by_job([*short, *(run for run, how in ends if how == ENDED_DONE)])
     lost = group_by_job(run for run, how in ends if how != ENDED_DONE)
     send_to_other_entries(state, OtherRuns(group_by_job(running), done, lost))
 
 
-def report_all_runs(state: BurstAgentState, view: EntryView) -> None:
-    """Report on a new link all runs that are or will be reported on the others."""
-    reported = group_by_job(run for run in state.runs.values() if run.is_reported)
-    message = OtherRuns(of_other_entries(reported, view), is_complete=True)
+def report_all_runs(state: BurstAgentState, view: EntryView, now_ms: int) -> None:
+    """Report on a new link what is reported on the others, with what was of late."""
+    running = group_by_job(run for run in state.runs.values() if run.is_reported)
+    done = group_by_job(
+        run
+        for done_ms, run in state.recent_done
+        if now_ms - done_ms <= DONE_RESEND_WINDOW_MS
+    )
+    message = OtherRuns(
+        of_other_entries(running, view),
+        of_other_entries(done, view),
+        is_complete=True,
+    )
     state.effects.append(Send(view.link, message))
 
 
--- a/src/sardineferry/decision/burst/agent_runs.py
+++ b/src/sardineferry/decision/burst/agent_runs.py
@@ -6,6 +6,8 @@
 
 from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.agent_dispatch import handle_agent_event
+from sardineferry.decision.burst.agent_other_runs import add_to_report
+from sardineferry.decision.burst.agent_other_runs import record_end
 from sardineferry.decision.burst.agent_other_runs import record_start
 from sardineferry.decision.burst.agent_state import Run
 from sardineferry.decision.burst.agent_state import WaitingOrder
@@ -119,7 +121,7 @@
         )
         run.ordered_ms = now_ms
         state.add_run(run)
-        record_start(state, run)
+        record_start(state, run, event.is_repeat)
         send_start(state, run, now_ms)
 
 
@@ -130,6 +132,8 @@
     if waiting in existing.waiting_orders:
         return
     existing.waiting_orders.append(waiting)
+    # The entry must not order the job's other tasks elsewhere meanwhile.
+    add_to_report(state, existing)
     fields: dict[str, object] = {
         "task": waiting.ref.task,
         "attempt": waiting.ref.attempt,
@@ -425,8 +429,7 @@
     if how == ENDED_LOST and run.stop_reason:
         reason = run.stop_reason
     state.remove_run(run)
-    if run.is_reported:
-        state.unreported_ends.append((run, how))
+    record_end(state, run, how, now_ms)
     state.capacity_changed = True
     state.last_end_ms = now_ms
     state.counters[f"runs_{how}"] += 1
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -257,10 +257,16 @@
         self.labels: tuple[str, ...] = ()
         self.slowdown_estimator = SlowdownEstimator()
         self.runs: dict[RunRef, Run] = {}
-        # Runs that other entries are to be told of, and ended ones that they were told
-        # of, with their outcomes.
+        # Runs that other entries are to be told of, ended ones that they were told of,
+        # with their outcomes, and short ones that are done.
         self.unreported_runs: list[Run] = []
         self.unreported_ends: list[tuple[Run, str]] = []
+        self.unreported_short_runs: list[Run] = []
+        # When the oldest of these is due; None if there are none.
+        self.short_runs_due_ms: int | None = None
+        # The latest runs that are done, with the times of their ends: the reports may
+        # have been lost with a link.
+        self.recent_done: deque[tuple[int, Run]] = deque(maxlen=MAX_KEPT_ENDS)
         # The resources of all runs, also of those that are being stopped.
         self.reserved = Resources()
         # Runs, being stopped, that the worker lists but that are not in ``runs``:
--- a/src/sardineferry/decision/burst/entry.py
+++ b/src/sardineferry/decision/burst/entry.py
@@ -79,6 +79,7 @@
         entry_callers.expire_callers(state, now_ms)
         entry_callers.expire_waiting_jobs(state, now_ms)
         state.effects.extend(state.config_relay.continue_transfers(now_ms))
+        entry_other_runs.release_due_jobs(state, now_ms)
         state.placement_due = True
         if state.drain_started_ms is not None:
             self.continue_drain(state.drain_started_ms, now_ms)
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -28,6 +28,7 @@
     from sardineferry.decision.burst.configuration import Route
     from sardineferry.decision.burst.entry_state import ActiveTask
     from sardineferry.decision.burst.entry_state import BurstEntryState
+    from sardineferry.decision.burst.requests import BurstJob
 
 __all__ = [
     "admit_early_jobs",
@@ -130,6 +131,10 @@
     if ended.outcome is not None:
         answer_ended_job(state, event, ended.outcome, now_ms - ended.ended_ms)
         return
+    if is_done_elsewhere(state, event.job):
+        done_ms = now_ms - state.other_runs.done[event.job.job_id].since_ms
+        answer_ended_job(state, event, ReplyKind.COMPLETED, done_ms)
+        return
     refusal = find_refusal(state, event, route, now_ms)
     if refusal is not None:
         refuse_job(state, event, *refusal, now_ms)
@@ -137,6 +142,12 @@
     admit_job(state, event, route, arrived_ms)
 
 
+def is_done_elsewhere(state: BurstEntryState, job: BurstJob) -> bool:
+    """Return whether other entries have run all tasks of a job."""
+    done = state.other_runs.done_tasks(job.job_id)
+    return bool(done) and set(range(job.steps[0].tasks)) <= set(done)
+
+
 def answer_ended_job(
     state: BurstEntryState, event: SubmitJob, outcome: ReplyKind, age_ms: int
 ) -> None:
@@ -266,7 +277,7 @@
     """
     job_id = event.job.job_id
     earlier = state.ended_jobs.get(job_id, UNKNOWN_JOB)
-    may_run = earlier.may_have_run or job_id in state.other_runs
+    may_run = earlier.may_have_run or state.other_runs.has_run(job_id)
     kind = ReplyKind.NO_ANSWER if may_run else ReplyKind.NOT_RUN
     state.counters["jobs_refused"] += 1
     fields: dict[str, object] = {
@@ -288,7 +299,10 @@
 def admit_job(
     state: BurstEntryState, event: SubmitJob, route: Route, arrived_ms: int
 ) -> None:
-    """Queue a job with its response-time goal and latest start time."""
+    """Queue a job with its response-time goal and latest start time.
+
+    Tasks that other entries have run before are done.
+    """
     earlier = state.ended_jobs.get(event.job.job_id, UNKNOWN_JOB)
     job = ActiveJob(event.job, route, event.token, arrived_ms, earlier)
     if earlier.attempt:
@@ -311,6 +325,7 @@
         "config_version": state.configuration.version,
     }
     state.effects.append(LogDecision("job admitted", fields))
+    job.mark_done(state.other_runs.done_tasks(job.job.job_id))
     if job.job.job_id in state.other_runs:
         hold_job(state, job, "")
 
--- a/src/sardineferry/decision/burst/entry_other_runs.py
+++ b/src/sardineferry/decision/burst/entry_other_runs.py
@@ -35,8 +35,15 @@
     "end_unknown_run",
     "forget_lost_runs",
     "forget_runs_before_restart",
+    "release_due_jobs",
 ]
 
+# An entry that releases a job is heard of in a few milliseconds. This is more than the
+# interval between ticks, so that entries release a job in different ticks.
+RELEASE_INTERVAL_MS = 50
+# Bounds the wait where there are many entries.
+MAX_RELEASE_RANK = 4
+
 
 @handle_entry_event.register(OtherRuns)
 def on_other_runs(
@@ -57,6 +64,7 @@
     for item in (*event.done, *event.lost):
         state.other_runs.remove(agent, item.job_id, item.tasks)
     for item in event.done:
+        state.other_runs.add_done(item.job_id, item.tasks, now_ms)
         mark_done(state, item, now_ms)
     ended = [item.job_id for item in (*event.done, *event.lost)]
     release_jobs(state, [*named_before, *ended], now_ms)
@@ -71,7 +79,9 @@
     name goes on.
     """
     hold_job(state, job, entry)
-    if entry < state.name and any(task.status == "placed" for task in job.tasks):
+    has_runs = any(task.status == "placed" for task in job.tasks)
+    if entry < state.name and has_runs and not job.has_yielded:
+        job.has_yielded = True
         fields: dict[str, object] = {
             "job": job.job.job_id,
             "entry": entry,
@@ -84,24 +94,44 @@
 def mark_done(state: BurstEntryState, item: JobTasks, now_ms: int) -> None:
     """Mark waiting tasks as done that another entry has run, and finish their job."""
     job = state.jobs.get(item.job_id)
-    if job is None:
-        return
-    for index in item.tasks:
-        if index < len(job.tasks) and job.tasks[index].status == "waiting":
-            job.tasks[index].advance("done")
-    finish_job_if_done(state, job, now_ms)
+    if job is not None:
+        job.mark_done(item.tasks)
+        finish_job_if_done(state, job, now_ms)
 
 
 def release_jobs(state: BurstEntryState, job_ids: list[str], now_ms: int) -> None:
     """Let held jobs be placed that run for no other entry any more.
 
-    Each then has as much time to start as when it arrived.
+    Several entries may hold copies of a job and learn of the end at the same moment, so
+    they release it one after the other, in the order of their names.
     """
     for job_id in job_ids:
         job = state.jobs.get(job_id)
-        if job is None or not job.is_held or job_id in state.other_runs:
+        if job is not None and job.is_held and job_id not in state.other_runs:
+            job.release_due_ms = now_ms + release_delay_ms(state)
+    release_due_jobs(state, now_ms)
+
+
+def release_delay_ms(state: BurstEntryState) -> int:
+    """Return how long this entry waits for those whose names come before its own."""
+    names = {entry.name for entry in state.known_entries if entry.name}
+    rank = sum(name < state.name for name in names)
+    return min(rank, MAX_RELEASE_RANK) * RELEASE_INTERVAL_MS
+
+
+def release_due_jobs(state: BurstEntryState, now_ms: int) -> None:
+    """Release the jobs for which it is time.
+
+    Each then has as much time to start as when it arrived.
+    """
+    for job in state.queue:
+        if job.release_due_ms is None or now_ms < job.release_due_ms:
+            continue
+        job_id = job.job.job_id
+        job.release_due_ms = None
+        if job_id in state.other_runs:
             continue
-        job.is_held = False
+        job.is_held = job.has_yielded = False
         slack_ms = job.latest_start_ms - job.arrived_ms
         job.latest_start_ms = max(job.latest_start_ms, now_ms + slack_ms)
         state.placement_due = True
--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -261,6 +261,7 @@
         step.need,
         step.estimate_ms,
         movable=not any(task.stalled for task in tasks),
+        is_repeat=job.ran_before or any(task.attempt > 1 for task in tasks),
     )
     state.effects.append(Send(view.name, message))
     state.counters["runs_ordered"] += len(tasks)
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -24,6 +24,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
     from random import Random
 
     from returns.result import Result
@@ -191,8 +192,11 @@
         self.had_run = False
         # True if another submission, here or at another entry, may have run.
         self.ran_before = earlier.may_have_run
-        # True while another entry runs tasks of the job.
+        # True while another entry runs tasks of the job, and until that time after.
         self.is_held = False
+        self.release_due_ms: int | None = None
+        # True if its runs were stopped meanwhile, in favour of the other entry's.
+        self.has_yielded = False
 
     @property
     def step(self) -> BurstStep:
@@ -219,6 +223,13 @@
             return []
         return [task for task in self.waiting_tasks() if not task.earlier_runs]
 
+    def mark_done(self, indexes: Iterable[int]) -> None:
+        """Mark waiting tasks as done that another entry has run."""
+        for index in indexes:
+            if index < len(self.tasks) and self.tasks[index].status == "waiting":
+                self.tasks[index].advance("done")
+                self.ran_before = True
+
     def count_earlier_run(self, index: int) -> None:
         """Count a run for an earlier submission, unless this one has no such task."""
         if index < len(self.tasks):
--- a/src/sardineferry/decision/burst/timing.py
+++ b/src/sardineferry/decision/burst/timing.py
@@ -39,6 +39,7 @@
     "PAUSE_THRESHOLD_MS",
     "RESUBMIT_DELAY_MS",
     "RUNS_ENDED_AFTER_MS",
+    "SHORT_RUN_REPORT_DELAY_MS",
     "SILENCE_LIMIT_MS",
 ]
 
@@ -83,6 +84,9 @@
 # other once it has lasted this long. Most shorter runs are over before a copy of their
 # request can arrive.
 LASTING_RUN_MS = 200
+# The ends of shorter runs are reported this late, so that most travel with other
+# messages. It is less than the time before a copy.
+SHORT_RUN_REPORT_DELAY_MS = RESUBMIT_DELAY_MS // 2
 # An order also shows that its entry is alive. It expires when the entry would
 # count as lost if nothing followed.
 ORDER_TTL_MS = SILENCE_LIMIT_MS
--- a/src/sardineferry/messages/burst.py
+++ b/src/sardineferry/messages/burst.py
@@ -207,7 +207,9 @@
 
     The agent refuses the order after ``expires_ms``. ``estimate_ms`` is the
     expected run time of one task on a worker whose slowdown is 1. ``movable`` is
-    true if none of the tasks has been stopped before for being slow.
+    true if none of the tasks has been stopped before for being slow. ``is_repeat`` is
+    true if the job has been submitted or a task ordered before: then other entries are
+    told at once, as copies of the request may be about.
     """
 
     order: int
@@ -217,6 +219,7 @@
     need: Resources
     estimate_ms: int
     movable: bool
+    is_repeat: bool = False
 
 
 class StopRuns(NamedTuple):
@@ -262,9 +265,9 @@
 class OtherRuns(NamedTuple):
     """Agent to entry: runs at its worker that other entries have ordered.
 
-    Only runs that last are reported. ``running`` are new ones; ``done`` and ``lost``
-    are those reported before that have ended, with the outcome done or with any other.
-    The first report on a link ``is_complete``: it lists all that go on.
+    ``running`` are new runs that last; ``lost`` are such runs that have ended without
+    the outcome done. ``done`` are runs with that outcome, also short ones. The first
+    report on a link ``is_complete``: it lists all that go on.
     """
 
     running: tuple[JobTasks, ...]
--- a/tests/decision/burst/test_agent_other_runs.py
+++ b/tests/decision/burst/test_agent_other_runs.py
@@ -61,19 +61,42 @@
     assert reports(agent) == expected
 
 
-@pytest.mark.parametrize("estimate_ms", [199, 200])
-def test_runs_that_should_last_are_reported_at_once(
-    agent: AgentDriver, estimate_ms: int
+@pytest.mark.parametrize(
+    ("estimate_ms", "is_repeat", "is_reported"),
+    [(199, False, False), (199, True, True), (200, False, True)],
+)
+def test_runs_that_copies_may_meet_are_reported_at_once(
+    agent: AgentDriver, estimate_ms: int, is_repeat: bool, is_reported: bool
 ) -> None:
     """Copies of a request may arrive at two entries at the same moment."""
-    run = ref(2)
-    message = StartRuns(2, agent.now_ms + 400, (run,), "", NEED, estimate_ms, True)
-    agent.handle(message)
+    run, expires_ms = ref(2), agent.now_ms + 400
+    agent.handle(
+        StartRuns(2, expires_ms, (run,), "", NEED, estimate_ms, True, is_repeat)
+    )
     running = JobTasks(job().job_id, "e", (2,))
-    expected = [(OTHER_LINK, OtherRuns((running,)))] * (estimate_ms == 200)
+    expected = [(OTHER_LINK, OtherRuns((running,)))] * is_reported
     assert reports(agent) == expected
 
 
+def test_run_that_an_order_of_another_entry_waits_for_is_reported_at_once(
+    agent: AgentDriver,
+) -> None:
+    """Guards against that entry ordering the job's other tasks elsewhere."""
+    message = StartRuns(1, agent.now_ms + 400, RUNS[:1], "", NEED, 100, True)
+    agent.handle(message, OTHER_LINK)
+    assert reports(agent) == [(OTHER_LINK, OtherRuns((REPORTED._replace(tasks=(0,)),)))]
+
+
+def test_short_runs_that_are_done_are_reported_later(agent: AgentDriver) -> None:
+    """Copies of their request then need no further run."""
+    agent.tick(100)
+    agent.hold(ends=tuple(ListedEnd(n, run, "done") for n, run in enumerate(RUNS, 1)))
+    assert reports(agent) == []
+    for _ in range(4):
+        agent.tick(250)
+    assert reports(agent) == [(OTHER_LINK, OtherRuns((), (REPORTED,)))]
+
+
 @pytest.mark.parametrize("how", ["done", "failed", "lost"])
 @pytest.mark.parametrize("elapsed_ms", [150, 250])
 def test_ends_of_reported_runs_are_reported_at_once(
@@ -90,6 +113,20 @@
     assert reports(agent) == [(OTHER_LINK, ended)] * (elapsed_ms == 250)
 
 
+@pytest.mark.parametrize(("waited_ms", "done"), [(1_900, (REPORTED,)), (2_100, ())])
+def test_new_link_begins_with_runs_that_are_done_of_late(
+    agent: AgentDriver, waited_ms: int, done: tuple[JobTasks, ...]
+) -> None:
+    """The report may have been lost with the link before."""
+    agent.tick(50)
+    agent.hold(ends=tuple(ListedEnd(n, run, "done") for n, run in enumerate(RUNS, 1)))
+    for _ in range(waited_ms // 100):
+        agent.tick(100)
+    agent.effects.clear()
+    agent.link(OTHER_LINK, "f")
+    assert reports(agent) == [(OTHER_LINK, OtherRuns((), done, is_complete=True))]
+
+
 @pytest.mark.parametrize(
     ("entry", "expected"), [("e", ()), ("f", (REPORTED,)), ("g", (REPORTED,))]
 )
--- a/tests/decision/burst/test_combined_faults.py
+++ b/tests/decision/burst/test_combined_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from bench.virtual.two_runs import ALL_LINKED
 from bench.virtual.two_runs import find_overlaps
 
 
@@ -25,3 +26,20 @@
 )
 def test_combined_faults_never_cause_two_runs_of_a_task(mix: str, seed: int) -> None:
     assert find_overlaps(mix, seed) == []
+
+
+@pytest.mark.parametrize(
+    ("mix", "seed"),
+    [
+        ("late copies", 1),
+        ("late copies, entries killed", 1),
+        # Reports of done runs are lost with their links.
+        ("late copies, links reset", 20),
+        ("late copies, callers return", 1),
+        # A short run of a repeated job meets a copy.
+        ("late copies, all", 11),
+    ],
+)
+def test_late_copies_never_cause_two_runs_of_a_task(mix: str, seed: int) -> None:
+    """Guards against review/1 with copies of many jobs, at any entry."""
+    assert find_overlaps(mix, seed, ALL_LINKED) == []
