Tell other entries that a job is cancelled

Cause: only the entry that cancelled a job knew of it.

Change: it tells two agents, which pass it on to their other entries, and for 10 s to those that link later. An entry cancels its own submission of that job, or remembers that it is cancelled; copies are answered so.

Cost: nothing without cancellings; each takes two messages, and one for each other link of two agents.

Test: test_late_copies.py, cancelled at another entry: 8 of 8 cases failed before (copy held, late, at a restarted entry, with one agent's link lost). Open: an entry that is cut off from all agents as it cancels tells nobody (test_lost_stops, other entry, cancelled: the job runs again there).

--- a/src/sardineferry/decision/burst/agent_links.py
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -29,6 +29,7 @@
 from sardineferry.messages.burst import EntryLeft
 from sardineferry.messages.burst import EntryWelcome
 from sardineferry.messages.burst import HeldRuns
+from sardineferry.messages.burst import JobCancelled
 from sardineferry.messages.burst import WatchRoom
 from sardineferry.messages.burst import WorkerAnnounce
 from sardineferry.messages.burst import WorkerProfile
@@ -71,6 +72,9 @@
 # Ends up to this age are sent again on a new link. An entry has given up the
 # runs of an agent that was unreachable for longer.
 ENDS_RESEND_WINDOW_MS = 10_000
+# Cancelled jobs are named to new links for this long: copies of their requests may
+# arrive seconds later.
+CANCELS_RESEND_WINDOW_MS = 10_000
 
 
 @handle_agent_event.register(LinkUp)
@@ -149,6 +153,11 @@
         ),
         HeldRuns(tuple(held), view.last_order),
         AgentBeat(now_ms),
+        *(
+            JobCancelled(job_id)
+            for cancelled_ms, job_id in state.cancelled_jobs
+            if now_ms - cancelled_ms <= CANCELS_RESEND_WINDOW_MS
+        ),
     ]
     state.effects.extend(Send(view.link, message) for message in messages)
     send_profile(state, view)
@@ -205,6 +214,19 @@
     state.effects.append(LogDecision("entry left", {"entry": event.entry}))
 
 
+@handle_agent_event.register(JobCancelled)
+def on_job_cancelled(
+    event: JobCancelled, state: BurstAgentState, sender: str, now_ms: int
+) -> None:
+    """Pass a cancelling on to the other entries, also to those that link soon."""
+    state.cancelled_jobs.append((now_ms, event.job_id))
+    state.effects.extend(
+        Send(view.link, event)
+        for view in state.entry_views.values()
+        if view.linked and view.link != sender
+    )
+
+
 @handle_agent_event.register(ConfigOffer)
 def on_config_offer(
     event: ConfigOffer, state: BurstAgentState, sender: str, now_ms: int
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -297,6 +297,8 @@
         # the next delayed update is due; None if none is delayed.
         self.capacity_changed = False
         self.capacity_update_due_ms: int | None = None
+        # The latest cancelled jobs, for entries that link later, with the times.
+        self.cancelled_jobs: deque[tuple[int, str]] = deque(maxlen=MAX_KEPT_ENDS)
         self.drain_started_ms: int | None = None
         # When the process last resumed after a pause; 0 if it never paused.
         self.resumed_ms = 0
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -12,6 +12,7 @@
 from sardineferry.decision.burst.entry_state import UNKNOWN_JOB
 from sardineferry.decision.burst.entry_state import ActiveJob
 from sardineferry.decision.burst.entry_state import EarlyJob
+from sardineferry.decision.burst.entry_state import EndedJob
 from sardineferry.decision.burst.entry_state import response_time_goal_ms
 from sardineferry.decision.burst.link_selection import count_links_per_agent
 from sardineferry.decision.burst.requests import BurstReply
@@ -22,6 +23,7 @@
 from sardineferry.decision.burst.requests import ShowQueue
 from sardineferry.decision.burst.requests import SubmitJob
 from sardineferry.decision.common_effects import Send
+from sardineferry.messages.burst import JobCancelled
 from sardineferry.messages.burst import StopRuns
 
 if TYPE_CHECKING:
@@ -55,6 +57,8 @@
 # Retry delay after a refusal for another reason than a long forecast wait, for
 # example while no worker is known.
 DEFAULT_RETRY_MS = 500
+# The agents that pass a cancelling on.
+CANCELLING_RELAYS = 2
 # Outcomes that late copies of a job's request are answered as well.
 FINAL_OUTCOMES = (ReplyKind.COMPLETED, ReplyKind.FAILED, ReplyKind.CANCELLED)
 
@@ -413,9 +417,40 @@
         state.effects.append(BurstReply(event.token, found))
         return
     finish_job(state, found, ReplyKind.CANCELLED, "cancelled", now_ms)
+    tell_cancelling(state, found.job.job_id)
     state.effects.append(BurstReply(event.token, ReplyKind.CANCELLED))
 
 
+def tell_cancelling(state: BurstEntryState, job_id: str) -> None:
+    """Tell other entries over agents that a job is cancelled, as copies may come there.
+
+    An agent of the own data centre is linked to all its entries. Two are told, in
+    case one is lost.
+    """
+    linked = sorted(
+        (view for view in state.agents.values() if view.linked),
+        key=lambda view: view.data_centre != state.data_centre,
+    )
+    relays = linked[:CANCELLING_RELAYS]
+    state.effects.extend(Send(view.name, JobCancelled(job_id)) for view in relays)
+
+
+@handle_entry_event.register(JobCancelled)
+def on_job_cancelled(
+    event: JobCancelled, state: BurstEntryState, _sender: str, now_ms: int
+) -> None:
+    """Cancel a job here that was cancelled at another entry, and remember that."""
+    job = state.jobs.get(event.job_id)
+    if job is not None:
+        reason = "cancelled at another entry"
+        finish_job(state, job, ReplyKind.CANCELLED, reason, now_ms)
+        return
+    ended = state.ended_jobs.get(event.job_id, UNKNOWN_JOB)
+    if ended.outcome is None:
+        ended = ended._replace(outcome=ReplyKind.CANCELLED, ended_ms=now_ms)
+        state.remember_job(event.job_id, ended)
+
+
 @handle_entry_event.register(ShowJob)
 def on_show_job(
     event: ShowJob, state: BurstEntryState, _sender: str, _now_ms: int
@@ -480,7 +515,8 @@
         state.queue.remove(job)
         state.placement_due = True
     outcome = kind if is_final and kind in FINAL_OUTCOMES else None
-    state.remember_job(job, outcome, now_ms)
+    ended = EndedJob(job.attempt, job.may_have_run, outcome, now_ms)
+    state.remember_job(job.job.job_id, ended)
     stop_job_runs(state, job)
     state.counters[f"jobs_{kind.value.replace(' ', '_')}"] += 1
     retry_ms = 0
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -461,18 +461,15 @@
             )
         )
 
-    def remember_job(
-        self, job: ActiveJob, outcome: ReplyKind | None, now_ms: int
-    ) -> None:
+    def remember_job(self, job_id: str, ended: EndedJob) -> None:
         """Keep what matters of an ended job, in case it is submitted again."""
-        ended = EndedJob(job.attempt, job.may_have_run, outcome, now_ms)
-        self.ended_jobs[job.job.job_id] = ended
-        self.ended_jobs.move_to_end(job.job.job_id)
+        self.ended_jobs[job_id] = ended
+        self.ended_jobs.move_to_end(job_id)
         while self.ended_jobs:
             oldest = next(iter(self.ended_jobs.values()))
             if (
                 len(self.ended_jobs) <= MAX_REMEMBERED_JOBS
-                and now_ms - oldest.ended_ms <= ENDED_JOB_RETENTION_MS
+                and ended.ended_ms - oldest.ended_ms <= ENDED_JOB_RETENTION_MS
             ):
                 return
             self.ended_jobs.popitem(last=False)
--- a/src/sardineferry/messages/burst.py
+++ b/src/sardineferry/messages/burst.py
@@ -30,6 +30,7 @@
     "EntryLeft",
     "EntryWelcome",
     "HeldRuns",
+    "JobCancelled",
     "JobTasks",
     "OtherRuns",
     "Resources",
@@ -276,6 +277,15 @@
     is_complete: bool = False
 
 
+class JobCancelled(NamedTuple):
+    """In both directions: a caller has cancelled this job.
+
+    An agent passes it on to its other entries.
+    """
+
+    job_id: str
+
+
 class EntryLeft(NamedTuple):
     """Entry to agent: the entry stops; its address need not be dialled soon."""
 
@@ -323,6 +333,7 @@
     | EntryLeft
     | EntryWelcome
     | HeldRuns
+    | JobCancelled
     | OtherRuns
     | RunEnded
     | StartRuns
--- a/tests/decision/burst/test_late_copies.py
+++ b/tests/decision/burst/test_late_copies.py
@@ -367,3 +367,34 @@
     joined.handle("f", submit(2, submitted))
     joined.advance_time(1_000)
     assert joined.replies_to(2) == replies
+
+
+@pytest.mark.parametrize("cancelled_after_ms", [50, 500])
+@pytest.mark.parametrize("place", ["held", "late", "restarted", "lost link"])
+def test_copy_of_a_job_that_was_cancelled_at_another_entry_is_not_run(
+    place: str, cancelled_after_ms: int
+) -> None:
+    """Guards against review/2 at another entry than that which cancelled the job."""
+    joined = make_fleet("ef")
+    submitted = submit(1, JOB)
+    joined.handle("e", submitted)
+    joined.advance_time(cancelled_after_ms)
+    if place == "held":
+        joined.handle("f", submit(2, JOB))
+    if place == "lost link":
+        joined.break_link("a", "f")
+        joined.report_break("f", "a")
+    joined.handle("e", CancelJob(3, submitted.host, submitted.path))
+    cancelled_ms = joined.now_ms
+    joined.advance_time(100)
+    if place == "restarted":
+        joined.kill("f")
+        joined.restart_entry("f")
+        joined.handle("f", ConfigurationRead(b"1"))
+    joined.advance_time(LATE_COPY_MS)
+    if place != "held":
+        joined.handle("f", submit(2, JOB))
+    joined.advance_time(RUN_MS)
+    assert joined.replies_to(2) == [ReplyKind.CANCELLED]
+    assert [run for run in joined.runs() if run.start_ms > cancelled_ms] == []
+    assert all(run.end_ms is not None for run in joined.runs())
