Cancel a job that another entry runs

Cause: an entry answered for its own jobs only. It knows now from the agents which jobs run for other entries, but did not look there.

Change: such a DELETE is answered 200 and told to the other entries like one at the entry that has the job.

A job without a lasting run, which no agent has reported, is still answered 410.

--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -411,13 +411,20 @@
 def on_cancel_job(
     event: CancelJob, state: BurstEntryState, _sender: str, now_ms: int
 ) -> None:
-    """Cancel a job; answer its submitters and the caller that cancels."""
+    """Cancel a job; answer its submitters and the caller that cancels.
+
+    A job that another entry runs is cancelled there.
+    """
     found = find_job(state, event.host, event.path)
-    if isinstance(found, ReplyKind):
+    job_id = event.path.rpartition("/")[2]
+    if found is ReplyKind.NO_JOB and job_id in state.other_runs:
+        remember_cancelling(state, job_id, now_ms)
+    elif isinstance(found, ReplyKind):
         state.effects.append(BurstReply(event.token, found))
         return
-    finish_job(state, found, ReplyKind.CANCELLED, "cancelled", now_ms)
-    tell_cancelling(state, found.job.job_id)
+    else:
+        finish_job(state, found, ReplyKind.CANCELLED, "cancelled", now_ms)
+    tell_cancelling(state, job_id)
     state.effects.append(BurstReply(event.token, ReplyKind.CANCELLED))
 
 
@@ -444,11 +451,16 @@
     if job is not None:
         reason = "cancelled at another entry"
         finish_job(state, job, ReplyKind.CANCELLED, reason, now_ms)
-        return
-    ended = state.ended_jobs.get(event.job_id, UNKNOWN_JOB)
+    else:
+        remember_cancelling(state, event.job_id, now_ms)
+
+
+def remember_cancelling(state: BurstEntryState, job_id: str, now_ms: int) -> None:
+    """Remember that a job was cancelled, unless it has ended before."""
+    ended = state.ended_jobs.get(job_id, UNKNOWN_JOB)
     if ended.outcome is None:
         ended = ended._replace(outcome=ReplyKind.CANCELLED, ended_ms=now_ms)
-        state.remember_job(event.job_id, ended)
+        state.remember_job(job_id, ended)
 
 
 @handle_entry_event.register(ShowJob)
--- a/tests/decision/burst/test_late_copies.py
+++ b/tests/decision/burst/test_late_copies.py
@@ -398,3 +398,18 @@
     assert joined.replies_to(2) == [ReplyKind.CANCELLED]
     assert [run for run in joined.runs() if run.start_ms > cancelled_ms] == []
     assert all(run.end_ms is not None for run in joined.runs())
+
+
+def test_cancelling_at_another_entry_stops_the_job() -> None:
+    """Guards against review/3: the retry of a DELETE that reaches another entry."""
+    joined = make_fleet("ef")
+    submitted = submit(1, JOB)
+    joined.handle("e", submitted)
+    joined.advance_time(REPORTED_MS)
+    joined.handle("f", CancelJob(2, submitted.host, submitted.path))
+    joined.advance_time(STOPPED_MS)
+    assert joined.replies_to(1) == [ReplyKind.CANCELLED]
+    assert joined.replies_to(2) == [ReplyKind.CANCELLED]
+    assert all(run.end_ms is not None for run in joined.runs())
+    joined.handle("f", submit(3, JOB))
+    assert joined.replies_to(3) == [ReplyKind.CANCELLED]
