Let the soak and the tests of the programs send copies of requests

Why: no caller of soak, simulation, stand-ins or bench came back after an answer, so none of them could show review/1.

--- a/bench/deployed_fleet.py
+++ b/bench/deployed_fleet.py
@@ -35,7 +35,7 @@
 PATH_PREFIX = "/holds/"
 SERVICE = "desk"
 GRACE_S = 6
-DATA_CENTRES = ("gresik", "cilacap")
+DATA_CENTRES = ("gresik", "cilacap", "semarang")
 
 
 def make_configuration(version: int, **route: object) -> dict[str, object]:
@@ -81,8 +81,11 @@
 class DeployedFleet:
     """A store stand-in, entries, agents and worker stand-ins as processes."""
 
-    def __init__(self, entries: int, workers: int, cpu: int = 8_000) -> None:
+    def __init__(
+        self, entries: int, workers: int, cpu: int = 8_000, data_centres: int = 2
+    ) -> None:
         """Choose addresses and ports, on a network that no other fleet should use."""
+        self.data_centres = DATA_CENTRES[:data_centres]
         self.directory = tempfile.TemporaryDirectory(prefix="sardineferry-")
         self.cpu = cpu
         network = f"127.{1 + os.getpid() % 200}.{time.monotonic_ns() // 1_000 % 250}"
@@ -167,7 +170,9 @@
         document = {
             "NodeName": name,
             "Ip": ip,
-            "Zone": DATA_CENTRES[int(ip.rpartition(".")[2]) % len(DATA_CENTRES)],
+            "Zone": self.data_centres[
+                int(ip.rpartition(".")[2]) % len(self.data_centres)
+            ],
             "Listen": listen,
             "PortRange": [link_port, link_port],
             "Seeds": [f"{entry}:{self.control_port}" for entry in self.entry_ips[:1]],
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -35,6 +35,7 @@
 
 from bench.deployed_fleet import HOST_NAME
 from bench.deployed_fleet import PATH_PREFIX
+from bench.deployed_fleet import DeployedFleet
 from bench.deployed_fleet import make_burst_job
 from bench.fleet import call_json
 from bench.soak_faults import FAULT_MIXES
@@ -45,7 +46,7 @@
 from sardineferry.messages.burst import ENDED_LOST
 from sardineferry.messages.burst import ENDED_REFUSED
 
-__all__ = ["JobRecord", "SoakPlan", "run_soak"]
+__all__ = ["JobRecord", "SoakPlan", "collect_runs", "overlapping_runs", "run_soak"]
 
 # Set by the platform: how long a caller waits before it submits a job again, and
 # how soon after the last fault entries have to serve again.
@@ -282,7 +283,7 @@
             )
 
 
-def collect_runs(fleet: SoakFleet) -> list[WorkerRun]:
+def collect_runs(fleet: DeployedFleet) -> list[WorkerRun]:
     """Return all runs that worker stand-ins have recorded."""
     return [
         WorkerRun(*row)._replace(worker=index)
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -75,6 +75,20 @@
             SoakPlan(1, seconds=4.0, faults="starved", long_tasks=0.3, impatience=0.2),
             id="starved",
         ),
+        # Half of the answers are lost, and a copy of each answered request comes
+        # seconds later: an entry ran jobs again that ran at the other one.
+        pytest.param(
+            SoakPlan(
+                1,
+                workers=4,
+                seconds=4.0,
+                faults="resets",
+                long_tasks=1.0,
+                copies=1.0,
+                lost_answers=0.5,
+            ),
+            id="late-copies",
+        ),
     ],
 )
 def test_programs_keep_their_promises_under_faults(plan: SoakPlan) -> None:
