--- a/tests/decision/burst/test_late_copies.py
+++ b/tests/decision/burst/test_late_copies.py
@@ -413,3 +413,44 @@
     assert all(run.end_ms is not None for run in joined.runs())
     joined.handle("f", submit(3, JOB))
     assert joined.replies_to(3) == [ReplyKind.CANCELLED]
+
+
+def test_copies_that_arrive_at_two_entries_at_once_never_meet() -> None:
+    """Listed as open: neither entry can have heard of the other's run."""
+    joined = make_fleet("ef")
+    joined.break_link("a", "f")
+    joined.report_break("f", "a")
+    joined.handle("f", submit(2, JOB))
+    joined.open_link("a", "f")
+    joined.break_link("b", "e")
+    joined.report_break("e", "b")
+    joined.handle("e", submit(1, JOB))
+    joined.open_link("b", "e")
+    joined.advance_time(2 * RUN_MS)
+    assert joined.simultaneous_runs() == []
+
+
+@pytest.mark.parametrize("is_restarted", [True, False])
+def test_copy_at_an_entry_without_a_link_to_the_agent_never_meets_its_run(
+    is_restarted: bool,
+) -> None:
+    """Listed as open: nobody has told the entry of the run.
+
+    It has just started again, or the agent is not linked to it in a large deployment.
+    """
+    joined = make_fleet("ef")
+    joined.break_link("b", "e")
+    joined.report_break("e", "b")
+    joined.handle("e", submit(1, JOB))
+    if is_restarted:
+        joined.kill("f")
+        joined.start_entry("f", "again")
+        joined.handle("f", ConfigurationRead(b"1"))
+    else:
+        joined.break_link("a", "f")
+        joined.report_break("f", "a")
+    joined.open_link("b", "f")
+    joined.advance_time(500)
+    joined.handle("f", submit(2, JOB))
+    joined.advance_time(2 * RUN_MS)
+    assert joined.simultaneous_runs() == []
