--- a/src/sardineferry/decision/burst/agent_other_runs.py
+++ b/src/sardineferry/decision/burst/agent_other_runs.py
@@ -32,8 +32,8 @@
     "report_changes",
 ]
 
-# Done runs of this age are reported again on a new link. An agent dials again in less,
-# and what it sends stays small.
+# Runs that were done within this time are reported again on a new link, as the report
+# may have been lost with the link before. An agent dials again sooner.
 DONE_RESEND_WINDOW_MS = 2_000
 
 
@@ -87,7 +87,7 @@
 
 
 def report_all_runs(state: BurstAgentState, view: EntryView, now_ms: int) -> None:
-    """Report on a new link what is reported on the others, with what was of late."""
+    """Report on a new link the runs that are reported on others or were done lately."""
     running = group_by_job(run for run in state.runs.values() if run.is_reported)
     done = group_by_job(
         run
--- a/src/sardineferry/decision/burst/entry.py
+++ b/src/sardineferry/decision/burst/entry.py
@@ -6,6 +6,7 @@
 
 from sardineferry.decision.burst import entry_agents
 from sardineferry.decision.burst import entry_callers
+from sardineferry.decision.burst import entry_cancelling
 from sardineferry.decision.burst import entry_config
 from sardineferry.decision.burst import entry_other_runs
 from sardineferry.decision.burst import entry_placement
@@ -22,7 +23,13 @@
 __all__ = ["HANDLER_MODULES", "BurstEntryCore", "BurstEntryState"]
 
 # Importing these modules registers their event handlers.
-HANDLER_MODULES = (entry_agents, entry_callers, entry_config, entry_other_runs)
+HANDLER_MODULES = (
+    entry_agents,
+    entry_callers,
+    entry_cancelling,
+    entry_config,
+    entry_other_runs,
+)
 
 IDLE_TICK_INTERVAL_MS = 200
 # With active jobs, ticks also finish those that have waited too long and detect lost
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -116,7 +116,7 @@
     event: WorkerProfile, state: BurstEntryState, sender: str, now_ms: int
 ) -> None:
     """Record the profile of an agent's worker."""
-    view = record_contact(state, sender, now_ms)
+    view = state.record_contact(sender, now_ms)
     if view is not None:
         view.profile = event
 
@@ -129,7 +129,7 @@
 
     The timestamp is echoed, but less often than updates arrive.
     """
-    view = record_contact(state, sender, now_ms)
+    view = state.record_contact(sender, now_ms)
     if view is None:
         return
     view.record_timestamp(event.sent_at_ms, now_ms)
@@ -157,7 +157,7 @@
     event: AgentBeat, state: BurstEntryState, sender: str, now_ms: int
 ) -> None:
     """Let the agent's timestamp be echoed, which keeps this entry's runs going."""
-    view = record_contact(state, sender, now_ms)
+    view = state.record_contact(sender, now_ms)
     if view is not None:
         view.record_timestamp(event.sent_at_ms, now_ms)
         state.due_echoes[view.name] = None
@@ -187,7 +187,7 @@
     A run whose order never arrived counts as refused, any other as lost. Orders that
     were sent after the agent announced itself may have crossed the list.
     """
-    view = record_contact(state, sender, now_ms)
+    view = state.record_contact(sender, now_ms)
     if view is None:
         return
     log_unwanted_runs(state, view, event)
@@ -229,7 +229,7 @@
     event: RunEnded, state: BurstEntryState, sender: str, now_ms: int
 ) -> None:
     """Apply the end of a run, unless the run is unknown or its end was applied."""
-    view = record_contact(state, sender, now_ms)
+    view = state.record_contact(sender, now_ms)
     if view is None:
         return
     placed = view.runs.pop(event.run, None)
@@ -261,14 +261,6 @@
     state.effects.append(LogDecision(event, fields))
 
 
-def record_contact(state: BurstEntryState, link: str, now_ms: int) -> AgentView | None:
-    """Record that a message came from an agent; return the agent if known."""
-    view = state.agents.get(link)
-    if view is not None:
-        view.last_heard_ms = now_ms
-    return view
-
-
 def apply_run_end(
     state: BurstEntryState,
     view: AgentView,
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -1,4 +1,4 @@
-"""Event handlers of the entry for callers: admit, refuse, cancel, answer jobs."""
+"""Event handlers of the entry for callers: admit, refuse, answer jobs."""
 
 from __future__ import annotations
 
@@ -17,13 +17,11 @@
 from sardineferry.decision.burst.link_selection import count_links_per_agent
 from sardineferry.decision.burst.requests import BurstReply
 from sardineferry.decision.burst.requests import CallerLeft
-from sardineferry.decision.burst.requests import CancelJob
 from sardineferry.decision.burst.requests import ReplyKind
 from sardineferry.decision.burst.requests import ShowJob
 from sardineferry.decision.burst.requests import ShowQueue
 from sardineferry.decision.burst.requests import SubmitJob
 from sardineferry.decision.common_effects import Send
-from sardineferry.messages.burst import JobCancelled
 from sardineferry.messages.burst import StopRuns
 
 if TYPE_CHECKING:
@@ -36,6 +34,7 @@
     "admit_early_jobs",
     "expire_callers",
     "expire_waiting_jobs",
+    "find_job",
     "finish_all_jobs",
     "finish_job",
     "finish_job_if_done",
@@ -57,8 +56,6 @@
 # Retry delay after a refusal for another reason than a long forecast wait, for
 # example while no worker is known.
 DEFAULT_RETRY_MS = 500
-# The agents that pass a cancelling on.
-CANCELLING_RELAYS = 2
 # Outcomes that late copies of a job's request are answered as well.
 FINAL_OUTCOMES = (ReplyKind.COMPLETED, ReplyKind.FAILED, ReplyKind.CANCELLED)
 
@@ -407,62 +404,6 @@
         )
 
 
-@handle_entry_event.register(CancelJob)
-def on_cancel_job(
-    event: CancelJob, state: BurstEntryState, _sender: str, now_ms: int
-) -> None:
-    """Cancel a job; answer its submitters and the caller that cancels.
-
-    A job that another entry runs is cancelled there.
-    """
-    found = find_job(state, event.host, event.path)
-    job_id = event.path.rpartition("/")[2]
-    if found is ReplyKind.NO_JOB and job_id in state.other_runs:
-        remember_cancelling(state, job_id, now_ms)
-    elif isinstance(found, ReplyKind):
-        state.effects.append(BurstReply(event.token, found))
-        return
-    else:
-        finish_job(state, found, ReplyKind.CANCELLED, "cancelled", now_ms)
-    tell_cancelling(state, job_id)
-    state.effects.append(BurstReply(event.token, ReplyKind.CANCELLED))
-
-
-def tell_cancelling(state: BurstEntryState, job_id: str) -> None:
-    """Tell other entries over agents that a job is cancelled, as copies may come there.
-
-    An agent of the own data centre is linked to all its entries. Two are told, in
-    case one is lost.
-    """
-    linked = sorted(
-        (view for view in state.agents.values() if view.linked),
-        key=lambda view: view.data_centre != state.data_centre,
-    )
-    relays = linked[:CANCELLING_RELAYS]
-    state.effects.extend(Send(view.name, JobCancelled(job_id)) for view in relays)
-
-
-@handle_entry_event.register(JobCancelled)
-def on_job_cancelled(
-    event: JobCancelled, state: BurstEntryState, _sender: str, now_ms: int
-) -> None:
-    """Cancel a job here that was cancelled at another entry, and remember that."""
-    job = state.jobs.get(event.job_id)
-    if job is not None:
-        reason = "cancelled at another entry"
-        finish_job(state, job, ReplyKind.CANCELLED, reason, now_ms)
-    else:
-        remember_cancelling(state, event.job_id, now_ms)
-
-
-def remember_cancelling(state: BurstEntryState, job_id: str, now_ms: int) -> None:
-    """Remember that a job was cancelled, unless it has ended before."""
-    ended = state.ended_jobs.get(job_id, UNKNOWN_JOB)
-    if ended.outcome is None:
-        ended = ended._replace(outcome=ReplyKind.CANCELLED, ended_ms=now_ms)
-        state.remember_job(job_id, ended)
-
-
 @handle_entry_event.register(ShowJob)
 def on_show_job(
     event: ShowJob, state: BurstEntryState, _sender: str, _now_ms: int
--- /dev/null
+++ b/src/sardineferry/decision/burst/entry_cancelling.py
@@ -0,0 +1,82 @@
+"""Event handlers of the entry for cancellings, here and at other entries.
+
+Load pattern: many jobs are cancelled, and copies of their requests arrive later, or the
+cancelling reaches another entry than the request.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sardineferry.decision.burst.entry_callers import find_job
+from sardineferry.decision.burst.entry_callers import finish_job
+from sardineferry.decision.burst.entry_dispatch import handle_entry_event
+from sardineferry.decision.burst.entry_state import UNKNOWN_JOB
+from sardineferry.decision.burst.requests import BurstReply
+from sardineferry.decision.burst.requests import CancelJob
+from sardineferry.decision.burst.requests import ReplyKind
+from sardineferry.decision.common_effects import Send
+from sardineferry.messages.burst import JobCancelled
+
+if TYPE_CHECKING:
+    from sardineferry.decision.burst.entry_state import BurstEntryState
+
+__all__: list[str] = []
+
+# The agents that pass a cancelling on: two, in case one is lost.
+CANCELLING_RELAYS = 2
+
+
+@handle_entry_event.register(CancelJob)
+def on_cancel_job(
+    event: CancelJob, state: BurstEntryState, _sender: str, now_ms: int
+) -> None:
+    """Cancel a job; answer its submitters and the caller that cancels.
+
+    A job that another entry runs is cancelled there.
+    """
+    found = find_job(state, event.host, event.path)
+    job_id = event.path.rpartition("/")[2]
+    if found is ReplyKind.NO_JOB and job_id in state.other_runs:
+        remember_cancelling(state, job_id, now_ms)
+    elif isinstance(found, ReplyKind):
+        state.effects.append(BurstReply(event.token, found))
+        return
+    else:
+        finish_job(state, found, ReplyKind.CANCELLED, "cancelled", now_ms)
+    tell_cancelling(state, job_id)
+    state.effects.append(BurstReply(event.token, ReplyKind.CANCELLED))
+
+
+def tell_cancelling(state: BurstEntryState, job_id: str) -> None:
+    """Tell other entries over agents that a job is cancelled, as copies may come there.
+
+    Agents of the own data centre are preferred: they are linked to all its entries.
+    """
+    linked = sorted(
+        (view for view in state.agents.values() if view.linked),
+        key=lambda view: view.data_centre != state.data_centre,
+    )
+    relays = linked[:CANCELLING_RELAYS]
+    state.effects.extend(Send(view.name, JobCancelled(job_id)) for view in relays)
+
+
+@handle_entry_event.register(JobCancelled)
+def on_job_cancelled(
+    event: JobCancelled, state: BurstEntryState, _sender: str, now_ms: int
+) -> None:
+    """Cancel a job here that was cancelled at another entry, and remember that."""
+    job = state.jobs.get(event.job_id)
+    if job is not None:
+        reason = "cancelled at another entry"
+        finish_job(state, job, ReplyKind.CANCELLED, reason, now_ms)
+    else:
+        remember_cancelling(state, event.job_id, now_ms)
+
+
+def remember_cancelling(state: BurstEntryState, job_id: str, now_ms: int) -> None:
+    """Remember that a job was cancelled, unless it has ended before."""
+    ended = state.ended_jobs.get(job_id, UNKNOWN_JOB)
+    if ended.outcome is None:
+        ended = ended._replace(outcome=ReplyKind.CANCELLED, ended_ms=now_ms)
+        state.remember_job(job_id, ended)
--- a/src/sardineferry/decision/burst/entry_other_runs.py
+++ b/src/sardineferry/decision/burst/entry_other_runs.py
@@ -50,12 +50,11 @@
     event: OtherRuns, state: BurstEntryState, sender: str, now_ms: int
 ) -> None:
     """Hold the jobs that run for other entries, until these runs have ended."""
-    view = state.agents.get(sender)
+    view = state.record_contact(sender, now_ms)
     if view is None:
         return
-    view.last_heard_ms = now_ms
     agent = ReportingAgent(view.name, view.incarnation)
-    named_before = state.other_runs.forget(agent) if event.is_complete else []
+    named_before = state.other_runs.forget_agent(agent) if event.is_complete else []
     for item in event.running:
         state.other_runs.add(agent, item.job_id, item.tasks)
         job = state.jobs.get(item.job_id)
@@ -180,7 +179,7 @@
     if silent_ms <= timing.OTHER_RUNS_KEPT_MS:
         return
     for agent in state.other_runs.incarnations(view.name):
-        release_jobs(state, state.other_runs.forget(agent), now_ms)
+        release_jobs(state, state.other_runs.forget_agent(agent), now_ms)
 
 
 def forget_runs_before_restart(
@@ -189,4 +188,4 @@
     """Forget what earlier processes of an agent reported: their runs have ended."""
     for agent in state.other_runs.incarnations(view.name):
         if agent.incarnation != view.incarnation:
-            release_jobs(state, state.other_runs.forget(agent), now_ms)
+            release_jobs(state, state.other_runs.forget_agent(agent), now_ms)
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -442,6 +442,13 @@
         # True once the process is about to exit: no job is admitted any more.
         self.exiting = False
 
+    def record_contact(self, link: str, now_ms: int) -> AgentView | None:
+        """Record that a message came from an agent; return the agent if known."""
+        view = self.agents.get(link)
+        if view is not None:
+            view.last_heard_ms = now_ms
+        return view
+
     def count_earlier_runs(self, job: ActiveJob) -> None:
         """Count the runs for earlier submissions of a job, which is not active yet."""
         for view in self.agents.values():
--- a/src/sardineferry/decision/burst/other_runs.py
+++ b/src/sardineferry/decision/burst/other_runs.py
@@ -73,7 +73,7 @@
         known = self.done.get(job_id)
         return known.tasks if known is not None else ()
 
-    def forget(self, agent: ReportingAgent) -> list[str]:
+    def forget_agent(self, agent: ReportingAgent) -> list[str]:
         """Forget all that an agent has reported; return the jobs that it named."""
         job_ids = list(self.tasks.pop(agent, {}))
         for job_id in job_ids:
