Release held jobs although a restarted agent accepts no orders

What callers would see: an agent is killed with its worker and comes back without one, or beside one that drains. Copies of the jobs that ran there are held until they are given up, as what its earlier process had reported was forgotten only once the agent accepted orders.

Test: test_copy_is_released_although_a_restarted_agent_never_accepts_orders failed before. Found by reading the change.

--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -12,8 +12,8 @@
 from sardineferry.decision.burst.entry_dispatch import handle_entry_event
 from sardineferry.decision.burst.entry_other_runs import add_unknown_runs
 from sardineferry.decision.burst.entry_other_runs import end_unknown_run
+from sardineferry.decision.burst.entry_other_runs import forget_earlier_reports
 from sardineferry.decision.burst.entry_other_runs import forget_lost_runs
-from sardineferry.decision.burst.entry_other_runs import forget_runs_before_restart
 from sardineferry.decision.burst.entry_state import AgentView
 from sardineferry.decision.burst.entry_state import EndProof
 from sardineferry.decision.burst.entry_state import EndSource
@@ -84,6 +84,7 @@
         view.orphans.update(view.runs)
         view.runs.clear()
         view.orphans_expire_ms = view.runs_expire_ms()
+        view.earlier_reports_expire_ms = now_ms + timing.RUNS_ENDED_AFTER_MS
     view.incarnation = event.incarnation
     view.linked = True
     view.last_heard_ms = now_ms
@@ -147,7 +148,7 @@
         # A restarted agent accepts orders only once its worker has ended all
         # earlier runs.
         if view.accepting:
-            forget_runs_before_restart(state, view, now_ms)
+            forget_earlier_reports(state, view, now_ms)
     if view.accepting and view.orphans:
         retry_orphans(state, view, EndSource.RESTARTED, "agent restarted", now_ms)
 
@@ -375,6 +376,9 @@
                 apply_run_end(state, view, placed, ended, EndSource.BOUND, now_ms)
         silent_ms = now_ms - max(view.last_heard_ms, state.resumed_ms)
         forget_lost_runs(state, view, silent_ms, now_ms)
+        expire_ms = view.earlier_reports_expire_ms
+        if expire_ms is not None and now_ms > expire_ms:
+            forget_earlier_reports(state, view, now_ms)
         if view.linked and silent_ms > timing.IDLE_SILENCE_LIMIT_MS:
             view.linked = False
             log_agent(state, "agent silent", view, now_ms)
--- a/src/sardineferry/decision/burst/entry_other_runs.py
+++ b/src/sardineferry/decision/burst/entry_other_runs.py
@@ -33,8 +33,8 @@
 __all__ = [
     "add_unknown_runs",
     "end_unknown_run",
+    "forget_earlier_reports",
     "forget_lost_runs",
-    "forget_runs_before_restart",
     "release_due_jobs",
 ]
 
@@ -182,10 +182,11 @@
         release_jobs(state, state.other_runs.forget_agent(agent), now_ms)
 
 
-def forget_runs_before_restart(
+def forget_earlier_reports(
     state: BurstEntryState, view: AgentView, now_ms: int
 ) -> None:
     """Forget what earlier processes of an agent reported: their runs have ended."""
+    view.earlier_reports_expire_ms = None
     for agent in state.other_runs.incarnations(view.name):
         if agent.incarnation != view.incarnation:
             release_jobs(state, state.other_runs.forget_agent(agent), now_ms)
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -321,6 +321,9 @@
         # Runs of an earlier incarnation, which the worker may still be running.
         self.orphans: dict[RunRef, PlacedRun] = {}
         self.orphans_expire_ms = 0
+        # When all runs that an earlier process reported have ended; None if it has not
+        # restarted since.
+        self.earlier_reports_expire_ms: int | None = None
         self.health = CircuitBreaker()
         # The agent need not be asked again for capacity updates before this time.
         self.updates_requested_until_ms = 0
--- a/tests/decision/burst/test_late_copies.py
+++ b/tests/decision/burst/test_late_copies.py
@@ -292,6 +292,25 @@
     assert [run.run.task for run in later] == [ref(0).task, ref(1).task]
 
 
+def test_copy_is_released_although_a_restarted_agent_never_accepts_orders() -> None:
+    """Guards against holding a job for good whose agent came back with no worker."""
+    joined = make_fleet(run_ms=3 * RUN_MS)
+    joined.handle("e", submit(1, JOB))
+    joined.advance_time(REPORTED_MS)
+    agent = joined.runs()[0].agent
+    joined.kill("e")
+    joined.kill(agent)
+    joined.workers[agent].crash()
+    joined.advance_time(10)
+    joined.restart_agent(agent)
+    restarted_ms = joined.now_ms
+    joined.advance_time(100)
+    joined.handle("f", submit(2, JOB))
+    joined.advance_time(RETRANSMIT_MS)
+    later = [run for run in joined.runs() if run.start_ms > restarted_ms]
+    assert [run.run.task for run in later] == [ref(0).task, ref(1).task]
+
+
 def test_two_entries_that_order_at_once_soon_agree_on_one() -> None:
     """Guards against both runs going on to their end; some milliseconds remain."""
     joined = make_fleet("ef")
