--- a/src/sardineferry/decision/burst/agent_links.py
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -74,7 +74,7 @@
 ENDS_RESEND_WINDOW_MS = 10_000
 # Cancelled jobs are named to new links for this long: copies of their requests may
 # arrive seconds later.
-CANCELS_RESEND_WINDOW_MS = 10_000
+CANCELLATIONS_RESEND_WINDOW_MS = 10_000
 
 
 @handle_agent_event.register(LinkUp)
@@ -156,7 +156,7 @@
         *(
             JobCancelled(job_id)
             for cancelled_ms, job_id in state.cancelled_jobs
-            if now_ms - cancelled_ms <= CANCELS_RESEND_WINDOW_MS
+            if now_ms - cancelled_ms <= CANCELLATIONS_RESEND_WINDOW_MS
         ),
     ]
     state.effects.extend(Send(view.link, message) for message in messages)
@@ -218,7 +218,7 @@
 def on_job_cancelled(
     event: JobCancelled, state: BurstAgentState, sender: str, now_ms: int
 ) -> None:
-    """Pass a cancelling on to the other entries, also to those that link soon."""
+    """Pass a cancellation on to the other entries, also to those that link soon."""
     state.cancelled_jobs.append((now_ms, event.job_id))
     state.effects.extend(
         Send(view.link, event)
--- a/src/sardineferry/decision/burst/entry.py
+++ b/src/sardineferry/decision/burst/entry.py
@@ -6,7 +6,7 @@
 
 from sardineferry.decision.burst import entry_agents
 from sardineferry.decision.burst import entry_callers
-from sardineferry.decision.burst import entry_cancelling
+from sardineferry.decision.burst import entry_cancellations
 from sardineferry.decision.burst import entry_config
 from sardineferry.decision.burst import entry_other_runs
 from sardineferry.decision.burst import entry_placement
@@ -26,7 +26,7 @@
 HANDLER_MODULES = (
     entry_agents,
     entry_callers,
-    entry_cancelling,
+    entry_cancellations,
     entry_config,
     entry_other_runs,
 )
--- a/src/sardineferry/decision/burst/entry_cancelling.py
+++ b/src/sardineferry/decision/burst/entry_cancellations.py
@@ -1,7 +1,7 @@
-"""Event handlers of the entry for cancellings, here and at other entries.
+"""Event handlers of the entry for cancellations, here and at other entries.
 
 Load pattern: many jobs are cancelled, and copies of their requests arrive later, or the
-cancelling reaches another entry than the request.
+cancellation reaches another entry than the request.
 """
 
 from __future__ import annotations
@@ -23,8 +23,8 @@
 
 __all__: list[str] = []
 
-# The agents that pass a cancelling on: two, in case one is lost.
-CANCELLING_RELAYS = 2
+# The agents that pass a cancellation on: two, in case one is lost.
+CANCELLATION_RELAYS = 2
 
 
 @handle_entry_event.register(CancelJob)
@@ -38,17 +38,17 @@
     found = find_job(state, event.host, event.path)
     job_id = event.path.rpartition("/")[2]
     if found is ReplyKind.NO_JOB and job_id in state.other_runs:
-        remember_cancelling(state, job_id, now_ms)
+        remember_cancellation(state, job_id, now_ms)
     elif isinstance(found, ReplyKind):
         state.effects.append(BurstReply(event.token, found))
         return
     else:
         finish_job(state, found, ReplyKind.CANCELLED, "cancelled", now_ms)
-    tell_cancelling(state, job_id)
+    notify_cancellation(state, job_id)
     state.effects.append(BurstReply(event.token, ReplyKind.CANCELLED))
 
 
-def tell_cancelling(state: BurstEntryState, job_id: str) -> None:
+def notify_cancellation(state: BurstEntryState, job_id: str) -> None:
     """Tell other entries over agents that a job is cancelled, as copies may come there.
 
     Agents of the own data centre are preferred: they are linked to all its entries.
@@ -57,7 +57,7 @@
         (view for view in state.agents.values() if view.linked),
         key=lambda view: view.data_centre != state.data_centre,
     )
-    relays = linked[:CANCELLING_RELAYS]
+    relays = linked[:CANCELLATION_RELAYS]
     state.effects.extend(Send(view.name, JobCancelled(job_id)) for view in relays)
 
 
@@ -71,10 +71,10 @@
         reason = "cancelled at another entry"
         finish_job(state, job, ReplyKind.CANCELLED, reason, now_ms)
     else:
-        remember_cancelling(state, event.job_id, now_ms)
+        remember_cancellation(state, event.job_id, now_ms)
 
 
-def remember_cancelling(state: BurstEntryState, job_id: str, now_ms: int) -> None:
+def remember_cancellation(state: BurstEntryState, job_id: str, now_ms: int) -> None:
     """Remember that a job was cancelled, unless it has ended before."""
     ended = state.ended_jobs.get(job_id, UNKNOWN_JOB)
     if ended.outcome is None:
--- a/src/sardineferry/decision/burst/entry_other_runs.py
+++ b/src/sardineferry/decision/burst/entry_other_runs.py
@@ -59,7 +59,7 @@
         state.other_runs.add(agent, item.job_id, item.tasks)
         job = state.jobs.get(item.job_id)
         if job is not None:
-            yield_to_entry(state, job, item.entry, now_ms)
+            hold_or_yield_job(state, job, item.entry, now_ms)
     for item in (*event.done, *event.lost):
         state.other_runs.remove(agent, item.job_id, item.tasks)
     for item in event.done:
@@ -69,7 +69,7 @@
     release_jobs(state, [*named_before, *ended], now_ms)
 
 
-def yield_to_entry(
+def hold_or_yield_job(
     state: BurstEntryState, job: ActiveJob, entry: str, now_ms: int
 ) -> None:
     """Hold a job that another entry runs; stop its own runs if that one goes first.
@@ -155,7 +155,7 @@
         state.other_runs.add(agent, job_id, (index,))
         job = state.jobs.get(job_id)
         if job is not None:
-            yield_to_entry(state, job, state.name, now_ms)
+            hold_or_yield_job(state, job, state.name, now_ms)
 
 
 def end_unknown_run(
