--- a/review/shared-2/standins.py
+++ b/review/shared-2/standins.py
@@ -39,6 +39,11 @@
 MAX_WAIT_MS = 2_000
 MAX_ENDS = 500
 READY_TIMEOUT_S = 20.0
+# Below the range from which systems take the ports of outgoing channels.
+PORTS = range(12_000, 30_000)
+HELD = 0
+COULD_NOT_RUN = 2
+BROKEN = 3
 SETTLE_S = 7.0
 KILL_GRACE_MS = 50
 # The bounds of the sites: of tbl-urea, tbl-urea-grown and tbl-urea-large.
@@ -834,15 +839,17 @@
 
 def free_ports(count: int) -> list[int]:
     """Return ports that are free on all loopback addresses."""
-    sockets = []
-    for _ in range(count):
-        listener = socket.socket()
-        listener.bind(("0.0.0.0", 0))
-        sockets.append(listener)
-    ports = [listener.getsockname()[1] for listener in sockets]
-    for listener in sockets:
-        listener.close()
-    return ports
+    ports: list[int] = []
+    for port in random.sample(PORTS, len(PORTS)):
+        with socket.socket() as listener:
+            try:
+                listener.bind(("0.0.0.0", port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise CaseError("no ports are free")
 
 
 def is_troubled() -> bool:
@@ -857,21 +864,24 @@
     bounds: dict[str, int],
     play: Callable[[Deployment], Awaitable[list[str]]],
 ) -> None:
-    """Play a case and exit: 1 if the rule was broken, 0 if it held, else 2."""
+    """Play a case and exit with a status that ``run.sh`` turns into its own.
+
+    A program that ends by an error of its own exits with 1, so that is not used here.
+    """
 
     async def main() -> int:
         deployment = Deployment(folder, entries, agents, bounds)
         try:
             broken = await asyncio.wait_for(play(deployment), 100.0)
-        except (CaseError, TimeoutError, OSError) as error:
+        except Exception as error:
             deployment.record.add(f"the case could not run: {error!r}")
-            return 2
+            return COULD_NOT_RUN
         finally:
             await deployment.stop()
         for line in broken:
             deployment.record.add(f"BROKEN: {line}")
         deployment.record.add("the rule was broken" if broken else "the rule held")
-        return 1 if broken else 0
+        return BROKEN if broken else HELD
 
     async def main_and_exit() -> None:
         status = await main()
