--- a/bench/virtual/two_runs.py
+++ b/bench/virtual/two_runs.py
@@ -32,11 +32,19 @@
 if TYPE_CHECKING:
     from bench.virtual.burst_load import Fault
 
-__all__ = ["ALL_LINKED", "MIXES", "Overlap", "find_overlaps"]
+__all__ = [
+    "ALL_LINKED",
+    "MIXES",
+    "SEVERAL_PER_DATA_CENTRE",
+    "Overlap",
+    "find_overlaps",
+]
 
 SIZE = DeploymentSize(entries=4, workers=12, utilization=0.4)
 # One entry in each data centre, so that each agent is linked to all entries.
 ALL_LINKED = SIZE._replace(entries=3)
+# Each agent is linked to one of the entries of each other data centre.
+SEVERAL_PER_DATA_CENTRE = SIZE._replace(entries=7)
 LOAD_MS = 8_000
 FIRST_FAULT_MS = 500
 # Mean time between two faults of a kind.
--- a/src/sardineferry/decision/burst/agent_links.py
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 from sardineferry.decision.burst import agent_membership
@@ -30,6 +31,7 @@
 from sardineferry.messages.burst import EntryWelcome
 from sardineferry.messages.burst import HeldRuns
 from sardineferry.messages.burst import JobCancelled
+from sardineferry.messages.burst import RelayedRuns
 from sardineferry.messages.burst import WatchRoom
 from sardineferry.messages.burst import WorkerAnnounce
 from sardineferry.messages.burst import WorkerProfile
@@ -75,6 +77,8 @@
 # Cancelled jobs are named to new links for this long: copies of their requests may
 # arrive seconds later.
 CANCELLATIONS_RESEND_WINDOW_MS = 10_000
+# More than an entry relays between two complete lists.
+MAX_KEPT_RELAYS = 64
 
 
 @handle_agent_event.register(LinkUp)
@@ -158,6 +162,7 @@
             for cancelled_ms, job_id in state.cancelled_jobs
             if now_ms - cancelled_ms <= CANCELLATIONS_RESEND_WINDOW_MS
         ),
+        *repeat_relays(state, view, now_ms),
     ]
     state.effects.extend(Send(view.link, message) for message in messages)
     send_profile(state, view)
@@ -227,6 +232,41 @@
     )
 
 
+@handle_agent_event.register(RelayedRuns)
+def on_relayed_runs(
+    event: RelayedRuns, state: BurstAgentState, sender: str, now_ms: int
+) -> None:
+    """Pass on what an entry relays to the other entries of this data centre.
+
+    It is kept since the last complete list, for entries that link soon.
+    """
+    kept = state.relayed.setdefault(event.entry, deque(maxlen=MAX_KEPT_RELAYS))
+    if event.is_complete:
+        kept.clear()
+    kept.append((now_ms, event))
+    state.counters["relays_passed_on"] += 1
+    state.effects.extend(
+        Send(view.link, event)
+        for view in state.entry_views.values()
+        if view.linked and view.same_data_centre and view.link != sender
+    )
+
+
+def repeat_relays(
+    state: BurstAgentState, view: EntryView, now_ms: int
+) -> Iterator[RelayedRuns]:
+    """Yield what was passed on lately, for an entry that has just linked."""
+    if not view.same_data_centre:
+        return
+    for entry, kept in list(state.relayed.items()):
+        newest_ms, _ = kept[-1]
+        if now_ms - newest_ms > timing.OTHER_RUNS_KEPT_MS:
+            del state.relayed[entry]
+        elif entry != view.name:
+            for received_ms, event in kept:
+                yield event._replace(age_ms=now_ms - received_ms)
+
+
 @handle_agent_event.register(ConfigOffer)
 def on_config_offer(
     event: ConfigOffer, state: BurstAgentState, sender: str, now_ms: int
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -23,6 +23,7 @@
     from sardineferry.decision.burst.link_selection import EntryRanking
     from sardineferry.decision.burst.worker import WorkerReported
     from sardineferry.messages.burst import EntryEndpoint
+    from sardineferry.messages.burst import RelayedRuns
 
 __all__ = [
     "BurstAgentState",
@@ -299,6 +300,9 @@
         self.capacity_update_due_ms: int | None = None
         # The latest cancelled jobs, for entries that link later, with the times.
         self.cancelled_jobs: deque[tuple[int, str]] = deque(maxlen=MAX_KEPT_ENDS)
+        # What entries have relayed since their last complete lists, by entry, each
+        # with the time when it arrived.
+        self.relayed: dict[str, deque[tuple[int, RelayedRuns]]] = {}
         self.drain_started_ms: int | None = None
         # When the process last resumed after a pause; 0 if it never paused.
         self.resumed_ms = 0
--- a/src/sardineferry/decision/burst/entry.py
+++ b/src/sardineferry/decision/burst/entry.py
@@ -10,6 +10,7 @@
 from sardineferry.decision.burst import entry_config
 from sardineferry.decision.burst import entry_other_runs
 from sardineferry.decision.burst import entry_placement
+from sardineferry.decision.burst import entry_relay
 from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.entry_dispatch import handle_entry_event
 from sardineferry.decision.burst.entry_state import BurstEntryState
@@ -29,6 +30,7 @@
     entry_cancellations,
     entry_config,
     entry_other_runs,
+    entry_relay,
 )
 
 IDLE_TICK_INTERVAL_MS = 200
@@ -52,9 +54,12 @@
         """Use this state."""
         self.state = state
         self.last_tick_ms: int | None = None
+        # The time of the last event, conclusion or tick.
+        self.now_ms = 0
 
     def handle(self, event: object, sender: str, now_ms: int) -> list[BurstEffect]:
         """Apply an event from the link ``sender``, or from the process itself."""
+        self.now_ms = now_ms
         handle_entry_event(event, self.state, sender, now_ms)
         return self.take_effects()
 
@@ -65,16 +70,19 @@
         job. Orders are valid from ``inputs_ms`` on: what arrived later, such as the end
         of a caller, has not been applied yet.
         """
+        self.now_ms = now_ms
         self.state.inputs_ms = inputs_ms
         if self.state.caught_up_ms is None:
             self.state.caught_up_ms = inputs_ms
         entry_placement.place_waiting_tasks(self.state, now_ms)
         entry_agents.send_due_echoes(self.state, now_ms)
+        entry_relay.relay_news(self.state, now_ms)
         return self.take_effects()
 
     def tick(self, now_ms: int) -> list[BurstEffect]:
         """Apply what is due at this time."""
         state = self.state
+        self.now_ms = now_ms
         previous_ms = self.last_tick_ms
         if previous_ms is not None and now_ms - previous_ms > timing.PAUSE_THRESHOLD_MS:
             state.resumed_ms = now_ms
@@ -86,6 +94,7 @@
         entry_callers.expire_callers(state, now_ms)
         entry_callers.expire_waiting_jobs(state, now_ms)
         state.effects.extend(state.config_relay.continue_transfers(now_ms))
+        entry_relay.forget_silent_relays(state, now_ms)
         entry_other_runs.release_due_jobs(state, now_ms)
         state.placement_due = True
         if state.drain_started_ms is not None:
@@ -120,7 +129,11 @@
         """Return the longest time until the next tick."""
         state = self.state
         busy = state.jobs or state.early_jobs or state.drain_started_ms is not None
-        return BUSY_TICK_INTERVAL_MS if busy else IDLE_TICK_INTERVAL_MS
+        interval_ms = BUSY_TICK_INTERVAL_MS if busy else IDLE_TICK_INTERVAL_MS
+        relay_due_ms = state.run_relay.next_due_ms(self.now_ms)
+        if relay_due_ms is None:
+            return interval_ms
+        return max(1, min(interval_ms, relay_due_ms - self.now_ms))
 
     def take_effects(self) -> list[BurstEffect]:
         """Return and clear the collected effects."""
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -31,6 +31,7 @@
 from sardineferry.messages.burst import EntryBeat
 from sardineferry.messages.burst import EntryWelcome
 from sardineferry.messages.burst import HeldRuns
+from sardineferry.messages.burst import JobTasks
 from sardineferry.messages.burst import RunEnded
 from sardineferry.messages.burst import WorkerAnnounce
 from sardineferry.messages.burst import WorkerProfile
@@ -282,6 +283,8 @@
         now_ms,
     )
     task.end_proof = proof
+    if state.is_remote(view):
+        note_relayed_end(state, placed, event, now_ms)
     current = state.jobs.get(job.job.job_id)
     if current is not None and current is not job:
         # The job was submitted again while this run had not ended.
@@ -323,6 +326,18 @@
     retry_task(state, job, task, "lost", now_ms)
 
 
+def note_relayed_end(
+    state: BurstEntryState, placed: PlacedRun, event: RunEnded, now_ms: int
+) -> None:
+    """Let other entries of this data centre hear of the end of a run elsewhere."""
+    job_id = placed.job.job.job_id
+    if event.how == ENDED_DONE:
+        item = JobTasks(job_id, state.name, (placed.task.index,))
+        state.run_relay.note_done([item], now_ms)
+    else:
+        state.run_relay.note_end(job_id)
+
+
 def fail_probe(state: BurstEntryState, view: AgentView, now_ms: int) -> None:
     """Count a run without an outcome as a failure if its worker is being probed.
 
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -328,10 +328,10 @@
     state.effects.append(LogDecision("job admitted", fields))
     job.mark_done(state.other_runs.done_tasks(job.job.job_id))
     if job.job.job_id in state.other_runs:
-        hold_job(state, job, "")
+        hold_job(state, job, "", arrived_ms)
 
 
-def hold_job(state: BurstEntryState, job: ActiveJob, entry: str) -> None:
+def hold_job(state: BurstEntryState, job: ActiveJob, entry: str, now_ms: int) -> None:
     """Place no tasks of a job while another entry runs it.
 
     ``entry`` is that entry's name, if known.
@@ -341,12 +341,16 @@
         return
     job.is_held = True
     state.counters["jobs_held"] += 1
+    sources = state.other_runs.sources_by_job[job.job.job_id]
+    relays = {source.relay for source in sources if source.relay is not None}
     fields: dict[str, object] = {
         "job": job.job.job_id,
         "entry": entry,
-        "agents": sorted(
-            agent.name for agent in state.other_runs.agents_by_job[job.job.job_id]
-        ),
+        "agents": sorted(source.describe() for source in sources),
+        "relayed_ms_ago": {
+            relay.name: now_ms - state.run_relay.heard[relay].sent_ms
+            for relay in sorted(relays)
+        },
         "placed": sum(task.status == "placed" for task in job.tasks),
     }
     state.effects.append(LogDecision("job held, another entry runs it", fields))
--- a/src/sardineferry/decision/burst/entry_cancellations.py
+++ b/src/sardineferry/decision/burst/entry_cancellations.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from sardineferry.decision.burst.entry_state import BurstEntryState
 
-__all__: list[str] = []
+__all__ = ["apply_cancellation"]
 
 # The agents that pass a cancellation on: two, in case one is lost.
 CANCELLATION_RELAYS = 2
@@ -63,20 +63,33 @@
 
 @handle_entry_event.register(JobCancelled)
 def on_job_cancelled(
-    event: JobCancelled, state: BurstEntryState, _sender: str, now_ms: int
+    event: JobCancelled, state: BurstEntryState, sender: str, now_ms: int
 ) -> None:
-    """Cancel a job here that was cancelled at another entry, and remember that."""
-    job = state.jobs.get(event.job_id)
-    if job is not None:
-        reason = "cancelled at another entry"
-        finish_job(state, job, ReplyKind.CANCELLED, reason, now_ms)
-    else:
-        remember_cancellation(state, event.job_id, now_ms)
+    """Cancel a job here, and let the other entries of this data centre hear of it.
+
+    An agent of this data centre has told them itself.
+    """
+    view = state.record_contact(sender, now_ms)
+    is_news = apply_cancellation(state, event.job_id, now_ms)
+    if is_news and view is not None and state.is_remote(view):
+        state.run_relay.note_cancelled(event.job_id)
+
+
+def apply_cancellation(state: BurstEntryState, job_id: str, now_ms: int) -> bool:
+    """Cancel a job that was cancelled at another entry; return whether it is news."""
+    job = state.jobs.get(job_id)
+    if job is None:
+        return remember_cancellation(state, job_id, now_ms)
+    reason = "cancelled at another entry"
+    finish_job(state, job, ReplyKind.CANCELLED, reason, now_ms)
+    return True
 
 
-def remember_cancellation(state: BurstEntryState, job_id: str, now_ms: int) -> None:
-    """Remember that a job was cancelled, unless it has ended before."""
+def remember_cancellation(state: BurstEntryState, job_id: str, now_ms: int) -> bool:
+    """Remember that a job was cancelled, unless it has ended; return whether so."""
     ended = state.ended_jobs.get(job_id, UNKNOWN_JOB)
-    if ended.outcome is None:
-        ended = ended._replace(outcome=ReplyKind.CANCELLED, ended_ms=now_ms)
-        state.remember_job(job_id, ended)
+    if ended.outcome is not None:
+        return False
+    ended = ended._replace(outcome=ReplyKind.CANCELLED, ended_ms=now_ms)
+    state.remember_job(job_id, ended)
+    return True
--- a/src/sardineferry/decision/burst/entry_config.py
+++ b/src/sardineferry/decision/burst/entry_config.py
@@ -102,8 +102,8 @@
 ) -> None:
     """Use the entry addresses of the settings until the store's list is read."""
     if not state.known_entries:
-        state.known_entries = tuple(
-            EntryEndpoint("", address, "", "") for address in event.addresses
+        state.set_known_entries(
+            tuple(EntryEndpoint("", address, "", "") for address in event.addresses)
         )
 
 
@@ -112,7 +112,7 @@
     event: EntriesRead, state: BurstEntryState, _sender: str, _now_ms: int
 ) -> None:
     """Record all registered entries, to be sent to agents that link."""
-    state.known_entries = event.entries
+    state.set_known_entries(event.entries)
 
 
 @handle_entry_event.register(Drain)
--- a/src/sardineferry/decision/burst/entry_other_runs.py
+++ b/src/sardineferry/decision/burst/entry_other_runs.py
@@ -15,7 +15,7 @@
 from sardineferry.decision.burst.entry_callers import hold_job
 from sardineferry.decision.burst.entry_callers import stop_job_runs
 from sardineferry.decision.burst.entry_dispatch import handle_entry_event
-from sardineferry.decision.burst.other_runs import ReportingAgent
+from sardineferry.decision.burst.other_runs import RunSource
 from sardineferry.messages.burst import ENDED_DONE
 from sardineferry.messages.burst import JobTasks
 from sardineferry.messages.burst import OtherRuns
@@ -31,11 +31,14 @@
     from sardineferry.messages.burst import RunRef
 
 __all__ = [
+    "add_other_runs",
     "add_unknown_runs",
     "end_unknown_run",
     "forget_earlier_reports",
     "forget_lost_runs",
+    "mark_done",
     "release_due_jobs",
+    "release_jobs",
 ]
 
 # An entry that releases a job is heard of in a few milliseconds. This is more than the
@@ -53,20 +56,31 @@
     view = state.record_contact(sender, now_ms)
     if view is None:
         return
-    agent = ReportingAgent(view.name, view.incarnation)
-    named_before = state.other_runs.forget_agent(agent) if event.is_complete else []
+    source = RunSource(view.name, view.incarnation)
+    named_before = state.other_runs.forget_source(source) if event.is_complete else []
     for item in event.running:
-        state.other_runs.add(agent, item.job_id, item.tasks)
-        job = state.jobs.get(item.job_id)
-        if job is not None:
-            hold_or_yield_job(state, job, item.entry, now_ms)
+        add_other_runs(state, source, item, now_ms)
     for item in (*event.done, *event.lost):
-        state.other_runs.remove(agent, item.job_id, item.tasks)
+        state.other_runs.remove(source, item.job_id, item.tasks)
     for item in event.done:
         state.other_runs.add_done(item.job_id, item.tasks, now_ms)
         mark_done(state, item, now_ms)
     ended = [item.job_id for item in (*event.done, *event.lost)]
     release_jobs(state, [*named_before, *ended], now_ms)
+    if state.is_remote(view):
+        state.run_relay.note_done(event.done, now_ms)
+        if event.running or event.lost or event.is_complete:
+            state.run_relay.note_change()
+
+
+def add_other_runs(
+    state: BurstEntryState, source: RunSource, item: JobTasks, now_ms: int
+) -> None:
+    """Record runs of another entry, and hold their job if it is active here."""
+    state.other_runs.add(source, item)
+    job = state.jobs.get(item.job_id)
+    if job is not None:
+        hold_or_yield_job(state, job, item.entry, now_ms)
 
 
 def hold_or_yield_job(
@@ -77,7 +91,7 @@
     Both have started the job before they heard of each other. The entry with the lower
     name goes on.
     """
-    hold_job(state, job, entry)
+    hold_job(state, job, entry, now_ms)
     has_runs = any(task.status == "placed" for task in job.tasks)
     if entry < state.name and has_runs and not job.has_yielded:
         job.has_yielded = True
@@ -149,13 +163,11 @@
 
     Their agent is stopping them.
     """
-    agent = ReportingAgent(view.name, view.incarnation)
+    source = RunSource(view.name, view.incarnation)
     for ref in refs:
         job_id, index = parse_task(ref.task)
-        state.other_runs.add(agent, job_id, (index,))
-        job = state.jobs.get(job_id)
-        if job is not None:
-            hold_or_yield_job(state, job, state.name, now_ms)
+        add_other_runs(state, source, JobTasks(job_id, state.name, (index,)), now_ms)
+    state.run_relay.note_change()
 
 
 def end_unknown_run(
@@ -165,11 +177,12 @@
     job_id, index = parse_task(ended.run.task)
     if job_id not in state.other_runs:
         return
-    agent = ReportingAgent(view.name, view.incarnation)
-    state.other_runs.remove(agent, job_id, (index,))
+    source = RunSource(view.name, view.incarnation)
+    state.other_runs.remove(source, job_id, (index,))
     if ended.how == ENDED_DONE:
         mark_done(state, JobTasks(job_id, state.name, (index,)), now_ms)
     release_jobs(state, [job_id], now_ms)
+    state.run_relay.note_change()
 
 
 def forget_lost_runs(
@@ -178,8 +191,9 @@
     """Forget what an agent reported that has been silent for too long."""
     if silent_ms <= timing.OTHER_RUNS_KEPT_MS:
         return
-    for agent in state.other_runs.incarnations(view.name):
-        release_jobs(state, state.other_runs.forget_agent(agent), now_ms)
+    for source in state.other_runs.incarnations(view.name):
+        release_jobs(state, state.other_runs.forget_source(source), now_ms)
+        state.run_relay.note_change()
 
 
 def forget_earlier_reports(
@@ -187,6 +201,7 @@
 ) -> None:
     """Forget what earlier processes of an agent reported: their runs have ended."""
     view.earlier_reports_expire_ms = None
-    for agent in state.other_runs.incarnations(view.name):
-        if agent.incarnation != view.incarnation:
-            release_jobs(state, state.other_runs.forget_agent(agent), now_ms)
+    for source in state.other_runs.incarnations(view.name):
+        if source.incarnation != view.incarnation:
+            release_jobs(state, state.other_runs.forget_source(source), now_ms)
+            state.run_relay.note_change()
--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -241,13 +241,19 @@
         for task in tasks
         if task.attempt
     }
+    is_repeat = job.ran_before or any(task.attempt for task in tasks)
+    is_reported = is_repeat or step.estimate_ms >= timing.LASTING_RUN_MS
     for task in tasks:
         task.attempt += 1
         task.end_proof = None
         job.attempt = max(job.attempt, task.attempt)
         task.agent = view.name
         task.advance("place")
-        view.runs[job.run_ref(task)] = PlacedRun(job, task, order, now_ms)
+        view.runs[job.run_ref(task)] = PlacedRun(
+            job, task, order, now_ms, is_reported=is_reported
+        )
+    if is_reported and state.is_remote(view):
+        state.run_relay.note_change()
     view.reserve(order, step.need.times(len(tasks)))
     view.health.record_sent()
     view.last_order_sent_ms = now_ms
@@ -261,7 +267,7 @@
         step.need,
         step.estimate_ms,
         movable=not any(task.stalled for task in tasks),
-        is_repeat=job.ran_before or any(task.attempt > 1 for task in tasks),
+        is_repeat=is_repeat,
     )
     state.effects.append(Send(view.name, message))
     state.counters["runs_ordered"] += len(tasks)
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -17,6 +17,7 @@
 from sardineferry.decision.burst.other_runs import KnownOtherRuns
 from sardineferry.decision.burst.requests import ReplyKind
 from sardineferry.decision.burst.requests import SubmitJob
+from sardineferry.decision.burst.run_relay import RunRelay
 from sardineferry.decision.burst.slowdown import WorkerSlowdowns
 from sardineferry.decision.circuit_breaker import CircuitBreaker
 from sardineferry.messages.burst import Resources
@@ -275,16 +276,26 @@
 class PlacedRun:
     """A run that an agent was ordered to start."""
 
-    __slots__ = ("job", "order", "ordered_ms", "task")
+    __slots__ = ("is_reported", "job", "order", "ordered_ms", "task")
 
     def __init__(
-        self, job: ActiveJob, task: ActiveTask, order: int, ordered_ms: int
+        self,
+        job: ActiveJob,
+        task: ActiveTask,
+        order: int,
+        ordered_ms: int,
+        *,
+        is_reported: bool,
     ) -> None:
-        """Record the task, the number of the order and when it was sent."""
+        """Record the task, the number of the order and when it was sent.
+
+        ``is_reported`` is true if other entries are told of the run at once.
+        """
         self.job = job
         self.task = task
         self.ordered_ms = ordered_ms
         self.order = order
+        self.is_reported = is_reported
 
 
 class AgentView:
@@ -418,6 +429,8 @@
         self.configuration = NO_CONFIGURATION
         self.route_table = RouteTable(())
         self.known_entries: tuple[EntryEndpoint, ...] = ()
+        # Whether other entries may be in this data centre.
+        self.has_peers = False
         self.agents: dict[str, AgentView] = {}
         self.jobs: dict[str, ActiveJob] = {}
         self.job_ids_by_token: dict[int, str] = {}
@@ -431,6 +444,7 @@
         # placement.
         self.placement_due = False
         self.other_runs = KnownOtherRuns()
+        self.run_relay = RunRelay()
         self.ended_jobs: OrderedDict[str, EndedJob] = OrderedDict()
         self.worker_slowdowns = WorkerSlowdowns()
         self.next_order = 1
@@ -452,6 +466,18 @@
             view.last_heard_ms = now_ms
         return view
 
+    def is_remote(self, view: AgentView) -> bool:
+        """Return whether an agent is in another data centre."""
+        return view.data_centre != self.data_centre
+
+    def set_known_entries(self, entries: tuple[EntryEndpoint, ...]) -> None:
+        """Record all entries, of which at first only the addresses may be known."""
+        self.known_entries = entries
+        self.has_peers = any(
+            entry.name != self.name and entry.data_centre in ("", self.data_centre)
+            for entry in entries
+        )
+
     def count_earlier_runs(self, job: ActiveJob) -> None:
         """Count the runs for earlier submissions of a job, which is not active yet."""
         for view in self.agents.values():
--- a/src/sardineferry/decision/burst/other_runs.py
+++ b/src/sardineferry/decision/burst/other_runs.py
@@ -9,7 +9,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-__all__ = ["KnownOtherRuns", "ReportingAgent"]
+    from sardineferry.messages.burst import JobTasks
+
+__all__ = ["KnownOtherRuns", "RelayingEntry", "ReportedTasks", "RunSource"]
 
 # Copies of a request arrive seconds after the end of its job.
 DONE_RETENTION_MS = 20_000
@@ -22,45 +24,75 @@
     since_ms: int
 
 
-class ReportingAgent(NamedTuple):
-    """A process of an agent, which has reported runs."""
+class RelayingEntry(NamedTuple):
+    """A process of another entry, which relays what agents have reported to it."""
 
     name: str
     incarnation: str
 
 
+class RunSource(NamedTuple):
+    """Who tells of runs: a process of an agent, itself or through an entry.
+
+    ``ordered_by_relay`` is true for runs that the relaying entry itself has ordered.
+    """
+
+    agent: str
+    incarnation: str
+    relay: RelayingEntry | None = None
+    ordered_by_relay: bool = False
+
+    def describe(self) -> str:
+        """Return the agent's name, and that of the entry if there is one."""
+        return f"{self.agent} via {self.relay.name}" if self.relay else self.agent
+
+
+class ReportedTasks:
+    """Tasks of a job that run for an entry."""
+
+    __slots__ = ("entry", "tasks")
+
+    def __init__(self, entry: str) -> None:
+        """Create it without tasks."""
+        self.entry = entry
+        self.tasks: set[int] = set()
+
+
 class KnownOtherRuns:
-    """The tasks that run for other entries, by reporting agent and job, or are done."""
+    """The tasks that run for other entries, by source and job, or are done."""
 
     def __init__(self) -> None:
         """Know of no runs."""
-        self.tasks: dict[ReportingAgent, dict[str, set[int]]] = {}
-        self.agents_by_job: dict[str, set[ReportingAgent]] = {}
+        self.reported: dict[RunSource, dict[str, ReportedTasks]] = {}
+        self.sources_by_job: dict[str, set[RunSource]] = {}
         self.done: OrderedDict[str, DoneTasks] = OrderedDict()
 
     def __contains__(self, job_id: str) -> bool:
         """Return whether another entry runs tasks of a job."""
-        return job_id in self.agents_by_job
+        return job_id in self.sources_by_job
 
     def has_run(self, job_id: str) -> bool:
         """Return whether another entry runs or has run tasks of a job."""
-        return job_id in self.agents_by_job or job_id in self.done
+        return job_id in self.sources_by_job or job_id in self.done
 
-    def add(self, agent: ReportingAgent, job_id: str, tasks: Iterable[int]) -> None:
+    def add(self, source: RunSource, item: JobTasks) -> None:
         """Record that tasks of a job run at an agent."""
-        self.tasks.setdefault(agent, {}).setdefault(job_id, set()).update(tasks)
-        self.agents_by_job.setdefault(job_id, set()).add(agent)
+        jobs = self.reported.setdefault(source, {})
+        known = jobs.setdefault(item.job_id, ReportedTasks(item.entry))
+        known.entry = item.entry
+        known.tasks.update(item.tasks)
+        self.sources_by_job.setdefault(item.job_id, set()).add(source)
 
-    def remove(self, agent: ReportingAgent, job_id: str, tasks: Iterable[int]) -> None:
+    def remove(self, source: RunSource, job_id: str, tasks: Iterable[int]) -> None:
         """Record that runs of tasks have ended, if they were known."""
-        jobs = self.tasks.get(agent, {})
+        jobs = self.reported.get(source, {})
         remaining = jobs.get(job_id)
         if remaining is None:
             return
-        remaining.difference_update(tasks)
-        if not remaining:
+        remaining.tasks.difference_update(tasks)
+        if not remaining.tasks:
             del jobs[job_id]
-            self.remove_agent_of_job(agent, job_id)
+            self.remove_source_of_job(source, job_id)
 
     def add_done(self, job_id: str, tasks: Iterable[int], now_ms: int) -> None:
         """Record that tasks are done, and forget those of long ago."""
@@ -73,20 +105,28 @@
         known = self.done.get(job_id)
         return known.tasks if known is not None else ()
 
-    def forget_agent(self, agent: ReportingAgent) -> list[str]:
-        """Forget all that an agent has reported; return the jobs that it named."""
-        job_ids = list(self.tasks.pop(agent, {}))
+    def forget_source(self, source: RunSource) -> list[str]:
+        """Forget all runs that a source has told of; return the jobs that it named."""
+        job_ids = list(self.reported.pop(source, {}))
         for job_id in job_ids:
-            self.remove_agent_of_job(agent, job_id)
+            self.remove_source_of_job(source, job_id)
         return job_ids
 
-    def incarnations(self, name: str) -> list[ReportingAgent]:
-        """Return the processes of an agent that have reported runs."""
-        return [agent for agent in self.tasks if agent.name == name]
-
-    def remove_agent_of_job(self, agent: ReportingAgent, job_id: str) -> None:
-        """Remove an agent that runs no more tasks of a job."""
-        agents = self.agents_by_job[job_id]
-        agents.discard(agent)
-        if not agents:
-            del self.agents_by_job[job_id]
+    def incarnations(self, agent: str) -> list[RunSource]:
+        """Return the processes of an agent that have themselves reported runs."""
+        return [
+            source
+            for source in self.reported
+            if source.agent == agent and source.relay is None
+        ]
+
+    def relayed_by(self, relay: RelayingEntry) -> list[RunSource]:
+        """Return the sources whose reports an entry's process relays."""
+        return [source for source in self.reported if source.relay == relay]
+
+    def remove_source_of_job(self, source: RunSource, job_id: str) -> None:
+        """Remove a source that tells of no more tasks of a job."""
+        sources = self.sources_by_job[job_id]
+        sources.discard(source)
+        if not sources:
+            del self.sources_by_job[job_id]
--- /dev/null
+++ b/src/sardineferry/decision/burst/run_relay.py
@@ -0,0 +1,168 @@
+"""What an entry relays to the other entries of its data centre, and what it has heard.
+
+An agent reports to all entries of its own data centre, but to one entry of each other
+data centre. That one relays the reports, and what it has itself ordered at such an
+agent, over an agent of its own data centre, which is linked to all entries there.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from sardineferry.messages.burst import AgentRuns
+from sardineferry.messages.burst import JobTasks
+from sardineferry.messages.burst import RelayedRuns
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sardineferry.decision.burst.other_runs import RelayingEntry
+
+__all__ = ["HeardRelay", "RelayedJob", "RunRelay", "RunSnapshot"]
+
+# Least time between two messages: many runs begin and end in that time.
+RELAY_INTERVAL_MS = 10
+# Tasks that are done and were not relayed before are relayed at most this late. With
+# the delay of their report it is less than the time before a copy.
+DONE_DELAY_MS = 200
+# Time between two complete lists. They replace what was lost with a relay, and show
+# that the entry is alive.
+REFRESH_INTERVAL_MS = 500
+# Bounds the memory while no agent of the data centre is linked.
+MAX_WAITING_NEWS = 1_024
+
+
+class RelayedJob(NamedTuple):
+    """A job that runs at one process of an agent, ordered by one entry."""
+
+    agent: str
+    incarnation: str
+    job_id: str
+    entry: str
+
+
+# The tasks that run of each job.
+RunSnapshot = dict[RelayedJob, frozenset[int]]
+
+
+class HeardRelay(NamedTuple):
+    """The newest message of a relaying entry, and when it was sent, on this clock."""
+
+    sequence: int
+    sent_ms: int
+
+
+class RunRelay:
+    """What an entry has relayed and has yet to relay."""
+
+    def __init__(self) -> None:
+        """Start without news."""
+        # The agent that passes messages on; empty if there is none.
+        self.link = ""
+        self.sequence = 0
+        self.sent: RunSnapshot = {}
+        self.sent_job_ids: set[str] = set()
+        # Whether runs have begun or ended since the last message.
+        self.is_changed = False
+        self.done: deque[JobTasks] = deque(maxlen=MAX_WAITING_NEWS)
+        self.cancelled: deque[str] = deque(maxlen=MAX_WAITING_NEWS)
+        self.done_due_ms: int | None = None
+        self.last_sent_ms = 0
+        self.refresh_due_ms = 0
+        # What other entries have relayed to this one.
+        self.heard: dict[RelayingEntry, HeardRelay] = {}
+
+    def note_change(self) -> None:
+        """Note that runs have begun or ended."""
+        self.is_changed = True
+
+    def note_end(self, job_id: str) -> None:
+        """Note that a run has ended without being done."""
+        if job_id in self.sent_job_ids:
+            self.is_changed = True
+
+    def note_done(self, items: Iterable[JobTasks], now_ms: int) -> None:
+        """Note that tasks are done; it is urgent if their runs were relayed."""
+        for item in items:
+            self.done.append(item)
+            self.note_end(item.job_id)
+            if self.done_due_ms is None:
+                self.done_due_ms = now_ms + DONE_DELAY_MS
+
+    def note_cancelled(self, job_id: str) -> None:
+        """Note that a job was cancelled at an entry of another data centre."""
+        self.cancelled.append(job_id)
+        self.is_changed = True
+
+    def use_link(self, link: str) -> None:
+        """Use this agent from now on; a new one gets a complete list first."""
+        if link != self.link:
+            self.link = link
+            self.refresh_due_ms = 0
+
+    def is_due(self, now_ms: int) -> bool:
+        """Return whether a message or a complete list is due."""
+        is_done_due = self.done_due_ms is not None and now_ms >= self.done_due_ms
+        return now_ms >= self.last_sent_ms + RELAY_INTERVAL_MS and (
+            self.is_changed or is_done_due or now_ms >= self.refresh_due_ms
+        )
+
+    def next_due_ms(self, now_ms: int) -> int | None:
+        """Return when the next news is due; None if there is none."""
+        if not self.link:
+            return None
+        if self.is_changed:
+            return max(now_ms, self.last_sent_ms + RELAY_INTERVAL_MS)
+        return self.done_due_ms
+
+    def take_message(
+        self, entry: RelayingEntry, running: RunSnapshot, now_ms: int
+    ) -> RelayedRuns | None:
+        """Return what has changed, or all at intervals; None if there is no news."""
+        is_complete = now_ms >= self.refresh_due_ms
+        if is_complete:
+            self.refresh_due_ms = now_ms + REFRESH_INTERVAL_MS
+        began, ended = compare(self.sent, running)
+        done, cancelled = tuple(self.done), tuple(self.cancelled)
+        has_news = began or ended or done or cancelled or (is_complete and running)
+        self.is_changed = False
+        self.done_due_ms = None
+        self.done.clear()
+        self.cancelled.clear()
+        if not has_news:
+            return None
+        self.sent = running
+        self.sent_job_ids = {job.job_id for job in running}
+        self.sequence += 1
+        self.last_sent_ms = now_ms
+        return RelayedRuns(
+            entry.name,
+            entry.incarnation,
+            self.sequence,
+            group_by_agent(running if is_complete else began),
+            () if is_complete else group_by_agent(ended),
+            done,
+            cancelled,
+            is_complete,
+        )
+
+
+def compare(before: RunSnapshot, now: RunSnapshot) -> tuple[RunSnapshot, RunSnapshot]:
+    """Return the tasks that run only now, and those that ran only before."""
+    began = {job: tasks - before.get(job, frozenset()) for job, tasks in now.items()}
+    ended = {job: tasks - now.get(job, frozenset()) for job, tasks in before.items()}
+    return (
+        {job: tasks for job, tasks in began.items() if tasks},
+        {job: tasks for job, tasks in ended.items() if tasks},
+    )
+
+
+def group_by_agent(runs: RunSnapshot) -> tuple[AgentRuns, ...]:
+    """Return runs by the process of their agent."""
+    jobs: dict[tuple[str, str], list[JobTasks]] = {}
+    for job, tasks in runs.items():
+        item = JobTasks(job.job_id, job.entry, tuple(sorted(tasks)))
+        jobs.setdefault((job.agent, job.incarnation), []).append(item)
+    return tuple(AgentRuns(*agent, tuple(items)) for agent, items in jobs.items())
--- a/src/sardineferry/messages/burst.py
+++ b/src/sardineferry/messages/burst.py
@@ -21,6 +21,7 @@
     "ENDED_REFUSED",
     "REASON_STALLED",
     "AgentBeat",
+    "AgentRuns",
     "BurstMessage",
     "ConfigOffer",
     "ConfigPart",
@@ -33,6 +34,7 @@
     "JobCancelled",
     "JobTasks",
     "OtherRuns",
+    "RelayedRuns",
     "Resources",
     "RunEnded",
     "RunRef",
@@ -277,6 +279,35 @@
     is_complete: bool = False
 
 
+class AgentRuns(NamedTuple):
+    """Runs at the worker of one process of an agent."""
+
+    agent: str
+    incarnation: str
+    jobs: tuple[JobTasks, ...]
+
+
+class RelayedRuns(NamedTuple):
+    """Entry to agent, passed on to the other entries of their data centre.
+
+    It tells what the entry knows of agents in other data centres, which are not linked
+    to those entries: runs that began or ended there, tasks that are done, and jobs that
+    were cancelled. If it ``is_complete``, it lists all runs that go on. ``sequence``
+    rises with each message of this process. An agent that repeats it for an entry that
+    has just linked sets ``age_ms``, the time since it arrived.
+    """
+
+    entry: str
+    incarnation: str
+    sequence: int
+    running: tuple[AgentRuns, ...] = ()
+    ended: tuple[AgentRuns, ...] = ()
+    done: tuple[JobTasks, ...] = ()
+    cancelled: tuple[str, ...] = ()
+    is_complete: bool = False
+    age_ms: int = 0
+
+
 class JobCancelled(NamedTuple):
     """In both directions: a caller has cancelled this job.
 
@@ -335,6 +366,7 @@
     | HeldRuns
     | JobCancelled
     | OtherRuns
+    | RelayedRuns
     | RunEnded
     | StartRuns
     | StopRuns
--- a/tests/decision/burst/drive.py
+++ b/tests/decision/burst/drive.py
@@ -205,9 +205,15 @@
             worker, born_ms, sequence, "desk", self.total, ("a",), draining, self.now_ms
         )
 
-    def link(self, link: str = LINK, entry: str = "e", incarnation: str = "1") -> None:
+    def link(
+        self,
+        link: str = LINK,
+        entry: str = "e",
+        incarnation: str = "1",
+        data_centre: str = "dc",
+    ) -> None:
         self.handle(LinkUp(link))
-        self.handle(EntryWelcome(entry, incarnation, "dc", None, ()), link)
+        self.handle(EntryWelcome(entry, incarnation, data_centre, None, ()), link)
 
     def handle(self, event: object, sender: str = LINK) -> list[object]:
         effects: list[object] = list(self.core.handle(event, sender, self.now_ms))
--- a/tests/decision/burst/joined.py
+++ b/tests/decision/burst/joined.py
@@ -18,6 +18,9 @@
 from sardineferry.decision.burst.configuration import EdgeLimits
 from sardineferry.decision.burst.entry import BurstEntryCore
 from sardineferry.decision.burst.entry import BurstEntryState
+from sardineferry.decision.burst.link_selection import rank_entries
+from sardineferry.decision.burst.link_selection import select_entries
+from sardineferry.decision.burst.membership import EntriesRead
 from sardineferry.decision.burst.requests import BurstReply
 from sardineferry.decision.burst.requests import ConfigurationRead
 from sardineferry.decision.burst.worker import HoldAnswered
@@ -30,11 +33,14 @@
 from sardineferry.decision.burst.worker import StopAnswered
 from sardineferry.decision.burst.worker import StopRun
 from sardineferry.decision.burst.worker import WorkerReported
+from sardineferry.decision.effects import Connect
+from sardineferry.decision.effects import Disconnect
 from sardineferry.decision.effects import Send
 from sardineferry.decision.events import LinkDown
 from sardineferry.decision.events import LinkUp
 from sardineferry.messages.burst import ENDED_DONE
 from sardineferry.messages.burst import ENDED_LOST
+from sardineferry.messages.burst import EntryEndpoint
 from sardineferry.messages.burst import Resources
 from sardineferry.messages.burst import RunRef
 
@@ -60,6 +66,8 @@
 HOLD_MARGIN_MS = 60
 # The platform's longest lease.
 MAX_HOLD_MS = 1_000
+# An agent that can't reach an entry dials again after this time.
+REDIAL_DELAY_MS = 100
 # By then an entry no longer waits for workers that it may not know yet.
 WARM_UP_MS = 2_000
 
@@ -313,11 +321,15 @@
     """Runs entries and agents on one fake clock, without any randomness.
 
     The test breaks and opens links, and tells each end of a break when it wants.
+    Entries are in the data centres that ``data_centres`` names, by default all in one.
     """
 
-    def __init__(self, entries: str, route: Route) -> None:
+    def __init__(
+        self, entries: str, route: Route, data_centres: dict[str, str] | None = None
+    ) -> None:
         self.now_ms = 10_000
         self.route = route
+        self.data_centres = data_centres or {}
         self.cores: dict[str, BurstEntryCore | BurstAgentCore] = {}
         self.next_tick_ms: dict[str, int] = {}
         self.workers: dict[str, PlayedWorker] = {}
@@ -326,32 +338,62 @@
         self.sequence = itertools.count()
         # Open links by agent and entry, each with a number that a new link changes.
         self.links: dict[tuple[str, str], int] = {}
+        # The entries that each agent links to when it starts.
+        self.linked_entries: dict[str, str] = {}
+        self.entries = entries
         for name in entries:
             self.start_entry(name, "i")
             self.handle(name, ConfigurationRead(b"1"))
-        self.entries = entries
 
     def start_entry(self, name: str, incarnation: str) -> None:
         """Start an entry without a configuration and links."""
         state = BurstEntryState(
-            name, incarnation, "dc", 6_000, self.decode, random.Random(1)
+            name,
+            incarnation,
+            self.data_centre_of(name),
+            6_000,
+            self.decode,
+            random.Random(1),
         )
         self.cores[name] = BurstEntryCore(state)
         self.next_tick_ms[name] = self.now_ms
+        if self.data_centres:
+            self.handle(name, EntriesRead(self.endpoints()))
+
+    def data_centre_of(self, name: str) -> str:
+        return self.data_centres.get(name, "dc")
+
+    def endpoints(self) -> tuple[EntryEndpoint, ...]:
+        """Return all entries, as the platform's store lists them."""
+        return tuple(
+            EntryEndpoint(name, name, self.data_centre_of(name), "i")
+            for name in self.entries
+        )
 
     def decode(self, text: bytes) -> Result[Configuration, str]:
         return Success(Configuration(1, (self.route,), EdgeLimits(), text))
 
-    def add_agent(self, name: str, total: Resources, run_ms: int) -> None:
-        """Add an agent that is linked to all entries."""
-        state = BurstAgentState(name, "i", "dc", "desk", 100, 6_000)
+    def add_agent(
+        self, name: str, total: Resources, run_ms: int, links: str = ""
+    ) -> None:
+        """Add an agent that is linked to these entries.
+
+        By default these are all, or those that it selects if there are data centres.
+        """
+        data_centre = self.data_centre_of(name)
+        self.linked_entries[name] = links or self.entries
+        if self.data_centres and not links:
+            ranking = rank_entries(name, self.endpoints())
+            selected = select_entries(ranking, data_centre, ())
+            self.linked_entries[name] = "".join(sorted(selected))
+        state = BurstAgentState(name, "i", data_centre, "desk", 100, 6_000)
         self.cores[name] = BurstAgentCore(state)
         self.next_tick_ms[name] = self.now_ms
         worker = PlayedWorker(self, name, run_ms)
         worker.total = total
         self.workers[name] = worker
         worker.report()
-        for entry in self.entries:
+        for entry in self.linked_entries[name]:
             self.open_link(name, entry)
 
     def kill(self, name: str) -> None:
@@ -367,10 +409,13 @@
         """Start a killed agent again; its worker reports only when told to."""
         incarnation = f"i{next(self.sequence)}"
         # The token derives from the time of the start.
-        state = BurstAgentState(name, incarnation, "dc", "desk", self.now_ms, 6_000)
+        data_centre = self.data_centre_of(name)
+        state = BurstAgentState(
+            name, incarnation, data_centre, "desk", self.now_ms, 6_000
+        )
         self.cores[name] = BurstAgentCore(state)
         self.next_tick_ms[name] = self.now_ms
-        for entry in self.entries:
+        for entry in self.linked_entries[name]:
             if entry in self.cores:
                 self.open_link(name, entry)
 
@@ -378,7 +423,7 @@
         """Start a killed entry again, which has yet to read its configuration."""
         self.start_entry(name, f"i{next(self.sequence)}")
         for agent in self.workers:
-            if agent in self.cores:
+            if agent in self.cores and name in self.linked_entries[agent]:
                 self.open_link(agent, name)
 
     def open_link(self, agent: str, entry: str) -> None:
@@ -431,9 +476,29 @@
                 self.send(name, effect)
             elif isinstance(effect, BurstReply):
                 self.replies.append(effect)
+            elif isinstance(effect, Connect) and self.data_centres:
+                self.run_after(1, partial(self.connect, name, effect.address))
+            elif isinstance(effect, Disconnect) and self.data_centres:
+                self.run_after(1, partial(self.disconnect, name, effect.address))
             elif name in self.workers:
                 self.workers[name].carry_out(effect)
 
+    def connect(self, agent: str, entry: str) -> None:
+        """Open a link that an agent dials, and dial again while the entry is down."""
+        if agent not in self.cores or (agent, entry) in self.links:
+            return
+        if entry in self.cores:
+            self.open_link(agent, entry)
+        else:
+            self.run_after(REDIAL_DELAY_MS, partial(self.connect, agent, entry))
+
+    def disconnect(self, agent: str, entry: str) -> None:
+        """Close a link that an agent does not need."""
+        if (agent, entry) in self.links:
+            self.break_link(agent, entry)
+            self.report_break(agent, entry)
+            self.report_break(entry, agent)
+
     def send(self, name: str, effect: Send) -> None:
         link = (name, effect.to) if name in self.workers else (effect.to, name)
         number = self.links.get(link)
--- a/tests/decision/burst/test_combined_faults.py
+++ b/tests/decision/burst/test_combined_faults.py
@@ -4,6 +4,7 @@
 
 import pytest
 from bench.virtual.two_runs import ALL_LINKED
+from bench.virtual.two_runs import SEVERAL_PER_DATA_CENTRE
 from bench.virtual.two_runs import find_overlaps
 
 
@@ -43,3 +44,20 @@
 def test_late_copies_never_cause_two_runs_of_a_task(mix: str, seed: int) -> None:
     """Guards against review/1 with copies of many jobs, at any entry."""
     assert find_overlaps(mix, seed, ALL_LINKED) == []
+
+
+@pytest.mark.parametrize(
+    ("mix", "seed"),
+    [
+        ("late copies", 2),
+        ("late copies, entries killed", 5),
+        ("late copies, links reset", 3),
+        ("late copies, callers return", 1),
+        ("late copies, all", 2),
+    ],
+)
+def test_copies_at_unlinked_entries_never_cause_two_runs_of_a_task(
+    mix: str, seed: int
+) -> None:
+    """Guards against review/6 and review/7, with several entries in a data centre."""
+    assert find_overlaps(mix, seed, SEVERAL_PER_DATA_CENTRE) == []
--- /dev/null
+++ b/tests/decision/burst/test_relayed_runs.py
@@ -0,0 +1,269 @@
+"""Tests of copies in deployments with several entries in a data centre.
+
+Each agent is linked to one entry of each other data centre.
+"""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from sardineferry.decision.burst.entry import BurstEntryCore
+from sardineferry.decision.burst.requests import CallerLeft
+from sardineferry.decision.burst.requests import CancelJob
+from sardineferry.decision.burst.requests import ConfigurationRead
+from sardineferry.decision.burst.requests import ReplyKind
+from sardineferry.messages.burst import Resources
+from tests.decision.burst.drive import TOTAL
+from tests.decision.burst.drive import job
+from tests.decision.burst.drive import route
+from tests.decision.burst.drive import submit
+from tests.decision.burst.joined import WARM_UP_MS
+from tests.decision.burst.joined import JoinedCores
+
+RUN_MS = 2_000
+RETRANSMIT_MS = 1_300
+# By then a report of a run has reached all entries: an order, a report, the interval
+# between relayed messages, a relayed message and its way over an agent.
+RELAYED_MS = 20
+# The longest time until an entry has heard of tasks that are done: the delays of a
+# report and of a relay.
+DONE_RELAYED_MS = 650 + 200 + RELAYED_MS
+STOPPED_MS = RELAYED_MS + 50
+REFRESH_MS = 500
+# As for agents that report themselves, see test_late_copies.
+KEPT_MS = 1_266 + 2 * 200
+LATE_COPY_MS = 2_000
+JOB = job(tasks=2, estimate_ms=RUN_MS)
+# Three entries and two agents in each of two data centres, one of each in a third.
+DATA_CENTRES = {
+    **dict.fromkeys("ea", "dc-1"),
+    **dict.fromkeys("fghbc", "dc-2"),
+    **dict.fromkeys("ijkdx", "dc-3"),
+}
+ENTRIES = "efghijk"
+AGENTS = "abcdx"
+
+
+def make_fleet(run_ms: int = RUN_MS, without_room: str = "") -> JoinedCores:
+    """Return the data centres, whose agents have linked to the entries they select."""
+    joined = JoinedCores(ENTRIES, route(), DATA_CENTRES)
+    for agent in AGENTS:
+        total = TOTAL if agent not in without_room else Resources(1, 1, 0)
+        joined.add_agent(agent, total, run_ms)
+    joined.advance_time(WARM_UP_MS)
+    return joined
+
+
+def entries_of(joined: JoinedCores, data_centre: str) -> list[str]:
+    return [name for name in joined.entries if DATA_CENTRES[name] == data_centre]
+
+
+def unlinked_entries(joined: JoinedCores, agent: str) -> list[str]:
+    """Return the entries that an agent is not linked to."""
+    return [name for name in joined.entries if (agent, name) not in joined.links]
+
+
+def informant(joined: JoinedCores, agent: str, data_centre: str) -> str:
+    """Return the entry of another data centre that an agent is linked to."""
+    (name,) = [
+        name
+        for name in entries_of(joined, data_centre)
+        if (agent, name) in joined.links
+    ]
+    return name
+
+
+def lose_answer(joined: JoinedCores, end: str) -> None:
+    """Let the first submission, at ``e``, end so that its caller got no answer."""
+    joined.handle("e", submit(1, JOB))
+    if end == "completed":
+        joined.advance_time(RUN_MS + 100)
+        assert joined.replies_to(1) == [ReplyKind.COMPLETED]
+    else:
+        joined.advance_time(500)
+    if end == "caller left":
+        joined.handle("e", CallerLeft(1))
+    elif end == "killed":
+        joined.kill("e")
+
+
+@pytest.mark.parametrize("end", ["completed", "caller left", "killed"])
+@pytest.mark.parametrize(
+    ("second", "third"),
+    [pair for pair in itertools.product("fgh", "ghijk") if len({*pair}) == 2],
+)
+def test_copy_at_an_entry_without_a_link_to_the_agent_never_meets_the_runs(
+    end: str, second: str, third: str
+) -> None:
+    """Guards against review/6: nobody told the entry of the runs elsewhere."""
+    joined = make_fleet()
+    lose_answer(joined, end)
+    joined.advance_time(RETRANSMIT_MS)
+    joined.handle(second, submit(2, JOB))
+    joined.advance_time(LATE_COPY_MS - RETRANSMIT_MS)
+    joined.handle(third, submit(3, JOB))
+    joined.advance_time(2 * RUN_MS)
+    assert joined.simultaneous_runs() == []
+    assert joined.replies_to(2) == [ReplyKind.COMPLETED]
+    assert joined.replies_to(3) == [ReplyKind.COMPLETED]
+
+
+@pytest.mark.parametrize("run_ms", [150, RUN_MS])
+@pytest.mark.parametrize("copy_delay_ms", [5, 60])
+def test_copies_of_a_completed_job_are_answered_without_a_run(
+    run_ms: int, copy_delay_ms: int
+) -> None:
+    """Guards against review/7: two entries that were not told of the tasks done."""
+    joined = make_fleet(run_ms)
+    short = job(tasks=2, estimate_ms=run_ms)
+    joined.handle("e", submit(1, short))
+    joined.advance_time(run_ms + DONE_RELAYED_MS)
+    assert joined.replies_to(1) == [ReplyKind.COMPLETED]
+    runs = joined.runs()
+    for token, entry in enumerate("fghijk", 2):
+        joined.handle(entry, submit(token, short))
+        assert joined.replies_to(token) == [ReplyKind.COMPLETED]
+        joined.advance_time(copy_delay_ms)
+    assert joined.runs() == runs
+
+
+def test_runs_that_an_entry_orders_elsewhere_are_known_to_its_neighbours() -> None:
+    """Guards against telling of other entries' runs in another data centre alone."""
+    # No worker of its own data centre has room.
+    joined = make_fleet(without_room="bc")
+    second = informant(joined, "a", "dc-2")
+    others = [name for name in "fgh" if name != second]
+    joined.handle(second, submit(2, JOB))
+    joined.advance_time(RELAYED_MS)
+    assert {run.agent for run in joined.runs()} <= set("adx")
+    for token, entry in enumerate(others, 3):
+        joined.handle(entry, submit(token, JOB))
+    joined.advance_time(2 * RUN_MS)
+    assert joined.simultaneous_runs() == []
+    assert len(joined.runs()) == JOB.steps[0].tasks
+
+
+@pytest.mark.parametrize("place", list("fghijk"))
+def test_copy_of_a_job_that_was_cancelled_in_another_data_centre_is_not_run(
+    place: str,
+) -> None:
+    """Guards against review/9: a cancellation reached one entry of each other one."""
+    joined = make_fleet()
+    submitted = submit(1, JOB)
+    joined.handle("e", submitted)
+    joined.advance_time(RELAYED_MS)
+    joined.handle("e", CancelJob(2, submitted.host, submitted.path))
+    joined.advance_time(RELAYED_MS)
+    joined.handle(place, submit(3, JOB))
+    joined.advance_time(RUN_MS)
+    assert joined.replies_to(3) == [ReplyKind.CANCELLED]
+    assert len(joined.runs()) == JOB.steps[0].tasks
+
+
+@pytest.mark.parametrize("place", list("fghijk"))
+def test_cancelling_at_an_entry_without_a_link_to_the_agent_stops_the_job(
+    place: str,
+) -> None:
+    """Guards against a 410 for a job that runs in another data centre."""
+    joined = make_fleet()
+    submitted = submit(1, JOB)
+    joined.handle("e", submitted)
+    joined.advance_time(RELAYED_MS)
+    joined.handle(place, CancelJob(2, submitted.host, submitted.path))
+    joined.advance_time(STOPPED_MS)
+    assert joined.replies_to(1) == [ReplyKind.CANCELLED]
+    assert joined.replies_to(2) == [ReplyKind.CANCELLED]
+    assert all(run.end_ms is not None for run in joined.runs())
+    for token, entry in enumerate(ENTRIES, 3):
+        joined.handle(entry, submit(token, JOB))
+        assert joined.replies_to(token) == [ReplyKind.CANCELLED]
+
+
+@pytest.mark.parametrize(
+    "trouble",
+    ["relay killed", "relay cut off unnoticed", "informant killed", "owner killed"],
+)
+def test_copy_meets_no_run_although_what_relayed_it_is_lost(trouble: str) -> None:
+    """Guards against forgetting runs that go on with a process that told of them."""
+    joined = make_fleet(run_ms=3 * RUN_MS)
+    submitted = job(tasks=2, estimate_ms=3 * RUN_MS)
+    joined.handle("e", submit(1, submitted))
+    joined.advance_time(RELAYED_MS)
+    agent = joined.runs()[0].agent
+    data_centre = next(
+        dc for dc in ("dc-2", "dc-3") if dc != joined.data_centre_of(agent)
+    )
+    told = informant(joined, agent, data_centre)
+    core = joined.cores[told]
+    assert isinstance(core, BurstEntryCore)
+    relay = core.state.run_relay.link
+    assert relay in joined.workers
+    if trouble == "relay killed":
+        joined.kill(relay)
+    elif trouble == "relay cut off unnoticed":
+        for link in [link for link in joined.links if link[0] == relay]:
+            joined.break_link(*link)
+    elif trouble == "informant killed":
+        joined.kill(told)
+    else:
+        joined.kill(agent)
+        joined.restart_agent(agent)
+    joined.advance_time(700)
+    for token, entry in enumerate(entries_of(joined, data_centre), 2):
+        joined.handle(entry, submit(token, submitted))
+    joined.advance_time(4 * RUN_MS)
+    assert joined.simultaneous_runs() == []
+
+
+def test_entry_that_has_just_started_is_told_what_was_relayed_before() -> None:
+    """Guards against a copy at an entry that started after the relayed messages."""
+    joined = make_fleet()
+    joined.handle("e", submit(1, JOB))
+    joined.advance_time(RELAYED_MS)
+    agent = joined.runs()[0].agent
+    restarted = next(
+        name
+        for name in unlinked_entries(joined, agent)
+        if DATA_CENTRES[name] != DATA_CENTRES[agent]
+    )
+    joined.kill(restarted)
+    joined.advance_time(100)
+    joined.restart_entry(restarted)
+    joined.handle(restarted, ConfigurationRead(b"1"))
+    joined.advance_time(10)
+    joined.handle(restarted, submit(2, JOB))
+    joined.advance_time(2 * RUN_MS)
+    assert joined.simultaneous_runs() == []
+    assert joined.replies_to(2) == [ReplyKind.COMPLETED]
+
+
+@pytest.mark.parametrize("lost", ["entry", "agent", "entry and agent"])
+def test_relayed_runs_of_lost_processes_do_not_delay_the_next_submission(
+    lost: str,
+) -> None:
+    """Guards against holding a job for longer than its runs can last."""
+    joined = make_fleet(run_ms=4 * RUN_MS, without_room="bc")
+    submitted = job(tasks=2, estimate_ms=4 * RUN_MS)
+    first = informant(joined, "a", "dc-2")
+    joined.handle(first, submit(1, submitted))
+    joined.advance_time(REFRESH_MS)
+    ordered = joined.runs()
+    assert ordered
+    assert {DATA_CENTRES[run.agent] for run in ordered} <= {"dc-1", "dc-3"}
+    if "entry" in lost:
+        joined.kill(first)
+    if "agent" in lost:
+        for agent in {run.agent for run in ordered}:
+            joined.kill(agent)
+            joined.workers[agent].crash()
+    lost_ms = joined.now_ms
+    joined.advance_time(RETRANSMIT_MS)
+    second = next(name for name in "fgh" if name != first)
+    joined.handle(second, submit(2, submitted))
+    bound_ms = RETRANSMIT_MS if lost == "entry" else KEPT_MS
+    joined.advance_time(bound_ms - RETRANSMIT_MS + 100)
+    later = [run for run in joined.runs() if run.start_ms > lost_ms]
+    assert len(later) == submitted.steps[0].tasks
+    assert joined.simultaneous_runs() == []
--- /dev/null
+++ b/tests/decision/burst/test_run_relay.py
@@ -0,0 +1,117 @@
+"""Tests of when an entry relays runs, and of agents that pass its messages on."""
+
+from __future__ import annotations
+
+import pytest
+
+from sardineferry.decision.burst.other_runs import RelayingEntry
+from sardineferry.decision.burst.run_relay import RelayedJob
+from sardineferry.decision.burst.run_relay import RunRelay
+from sardineferry.decision.burst.run_relay import RunSnapshot
+from sardineferry.decision.effects import Send
+from sardineferry.messages.burst import AgentRuns
+from sardineferry.messages.burst import JobTasks
+from sardineferry.messages.burst import RelayedRuns
+from tests.decision.burst.drive import LINK
+from tests.decision.burst.drive import AgentDriver
+
+ENTRY = RelayingEntry("e", "i")
+NOW_MS = 10_000
+JOB_ID = "a1"
+RUNNING: RunSnapshot = {RelayedJob("a", "1", JOB_ID, "f"): frozenset({0, 1})}
+PART: RunSnapshot = {RelayedJob("a", "1", JOB_ID, "f"): frozenset({1})}
+OTHER_LINK = "10.0.0.2:7000"
+REMOTE_LINK = "10.1.0.1:7000"
+
+
+def agent_runs(*tasks: int) -> tuple[AgentRuns, ...]:
+    return (AgentRuns("a", "1", (JobTasks(JOB_ID, "f", tasks),)),)
+
+
+@pytest.fixture
+def relay() -> RunRelay:
+    """Return a relay that has sent a complete list of ``RUNNING``."""
+    relay = RunRelay()
+    relay.use_link("b")
+    message = relay.take_message(ENTRY, RUNNING, NOW_MS)
+    assert message == RelayedRuns(
+        "e", "i", 1, running=agent_runs(0, 1), is_complete=True
+    )
+    return relay
+
+
+@pytest.mark.parametrize(
+    ("now", "expected"),
+    [
+        (RUNNING, None),
+        (PART, RelayedRuns("e", "i", 2, ended=agent_runs(0))),
+        ({}, RelayedRuns("e", "i", 2, ended=agent_runs(0, 1))),
+    ],
+)
+def test_only_changes_are_relayed_between_two_complete_lists(
+    relay: RunRelay, now: RunSnapshot, expected: RelayedRuns | None
+) -> None:
+    assert relay.take_message(ENTRY, now, NOW_MS + 10) == expected
+
+
+def test_complete_list_is_repeated_and_after_a_change_of_the_agent_sent_at_once(
+    relay: RunRelay,
+) -> None:
+    """Guards against news that was lost with the agent that passes it on."""
+    assert not relay.is_due(NOW_MS + 499)
+    assert relay.is_due(NOW_MS + 500)
+    relay.use_link("c")
+    assert relay.is_due(NOW_MS + 10)
+    message = relay.take_message(ENTRY, PART, NOW_MS + 10)
+    assert message == RelayedRuns("e", "i", 2, running=agent_runs(1), is_complete=True)
+
+
+@pytest.mark.parametrize(
+    ("job_id", "due_after_ms"), [(JOB_ID, 10), ("never relayed", 200)]
+)
+def test_tasks_that_are_done_are_urgent_if_their_runs_were_relayed(
+    relay: RunRelay, job_id: str, due_after_ms: int
+) -> None:
+    relay.note_done([JobTasks(job_id, "f", (0,))], NOW_MS)
+    assert not relay.is_due(NOW_MS + due_after_ms - 1)
+    assert relay.is_due(NOW_MS + due_after_ms)
+    assert relay.next_due_ms(NOW_MS) == NOW_MS + due_after_ms
+
+
+def test_many_changes_are_relayed_together(relay: RunRelay) -> None:
+    """Guards against a message for each run of a busy deployment."""
+    relay.note_change()
+    assert not relay.is_due(NOW_MS + 9)
+    assert relay.is_due(NOW_MS + 10)
+
+
+def passed_on(agent: AgentDriver) -> list[tuple[str, RelayedRuns]]:
+    return [
+        (effect.to, effect.message)
+        for effect in agent.effects
+        if isinstance(effect, Send) and isinstance(effect.message, RelayedRuns)
+    ]
+
+
+def test_agent_passes_relayed_runs_on_to_the_entries_of_its_data_centre_only() -> None:
+    agent = AgentDriver()
+    agent.link(OTHER_LINK, "f")
+    agent.link(REMOTE_LINK, "g", data_centre="other")
+    message = RelayedRuns("e", "i", 1, running=agent_runs(0))
+    agent.handle(message, LINK)
+    assert passed_on(agent) == [(OTHER_LINK, message)]
+
+
+def test_agent_repeats_what_was_relayed_for_an_entry_that_links_later() -> None:
+    """Guards against an entry that starts between two complete lists."""
+    agent = AgentDriver()
+    earlier = RelayedRuns("e", "i", 1, running=agent_runs(0), is_complete=True)
+    complete = RelayedRuns("e", "i", 2, running=agent_runs(1), is_complete=True)
+    later = RelayedRuns("e", "i", 3, ended=agent_runs(1))
+    for message in (earlier, complete, later):
+        agent.handle(message, LINK)
+    agent.tick(100)
+    agent.effects.clear()
+    agent.link(OTHER_LINK, "f")
+    expected = [message._replace(age_ms=100) for message in (complete, later)]
+    assert passed_on(agent) == [(OTHER_LINK, message) for message in expected]
