Link to another entry at once where the only informed one is lost

Cause: an agent links to one entry of each other data centre and counts it as absent after 1,000 ms without a link. Until then nobody in that data centre hears of the agent's runs, so there is nothing to relay.

Change: a lost link to an entry of another data centre is replaced after 200 ms, and the review of links is due then. In the own data centre, where several entries hear of each run, and for entries that have not been linked yet, the bound stays.

Measured: test_data_centre_soon_has_another_informant fails in 2 of 2 cases before, in none now.

--- a/src/sardineferry/decision/burst/agent_membership.py
+++ b/src/sardineferry/decision/burst/agent_membership.py
@@ -26,6 +26,9 @@
 # dialling it, and links to another entry in addition. A killed entry is back after
 # about 1 s; for one that is back sooner, no other link is opened.
 ABSENT_AFTER_MS = 1_000
+# The same for a lost link to an entry of another data centre. Until the next one is
+# linked, nobody there is told of runs here.
+ABSENT_ELSEWHERE_AFTER_MS = 200
 # An entry whose link is no longer needed is asked to send no orders. The link is
 # closed this long after, or if later, this long after the entry's last run here.
 # Orders that are still in transit arrive within a few ms.
@@ -37,12 +40,19 @@
 class DialledEntry:
     """An address that the agent has dialled, until its link is closed as unneeded."""
 
-    __slots__ = ("incarnation", "link_changed_ms", "linked", "retire_due_ms")
+    __slots__ = (
+        "incarnation",
+        "link_changed_ms",
+        "linked",
+        "retire_due_ms",
+        "was_linked",
+    )
 
     def __init__(self, now_ms: int, incarnation: str = "") -> None:
         """Create it without a link."""
         self.incarnation = incarnation
         self.linked = False
+        self.was_linked = False
         # When the link was last established or lost, or when ``dial`` dialled the
         # address if that is later. An entry without a link that has restarted is
         # dialled again, and so counts as absent only ``ABSENT_AFTER_MS`` after that.
@@ -86,7 +96,11 @@
         dialled = DialledEntry(now_ms)
         state.dialled[address] = dialled
     dialled.linked = linked
+    dialled.was_linked = dialled.was_linked or linked
     dialled.link_changed_ms = now_ms
+    if not linked:
+        review_ms = now_ms + ABSENT_ELSEWHERE_AFTER_MS + 1
+        state.review_due_ms = min(state.review_due_ms, review_ms)
 
 
 def record_welcome(
@@ -153,12 +167,17 @@
 
 
 def absent_entries(state: BurstAgentState, now_ms: int) -> Iterable[str]:
-    """Yield the names of dialled entries without a link for ``ABSENT_AFTER_MS``."""
+    """Yield the names of dialled entries without a link for too long."""
     for name, entry in state.known_entries.items():
         dialled = state.dialled.get(entry.address)
         if dialled is None or dialled.linked:
             continue
-        if now_ms - dialled.link_changed_ms > ABSENT_AFTER_MS:
+        bound_ms = (
+            ABSENT_ELSEWHERE_AFTER_MS
+            if dialled.was_linked and entry.data_centre != state.data_centre
+            else ABSENT_AFTER_MS
+        )
+        if now_ms - dialled.link_changed_ms > bound_ms:
             yield name
 
 
--- a/tests/decision/burst/test_relayed_runs.py
+++ b/tests/decision/burst/test_relayed_runs.py
@@ -217,6 +217,22 @@
     assert joined.simultaneous_runs() == []
 
 
+@pytest.mark.parametrize("data_centre", ["dc-2", "dc-3"])
+def test_data_centre_soon_has_another_informant(data_centre: str) -> None:
+    """Guards against runs that nobody is told of while an entry starts again."""
+    joined = make_fleet()
+    told = informant(joined, "a", data_centre)
+    joined.kill(told)
+    joined.advance_time(250)
+    joined.handle("e", submit(1, JOB))
+    joined.advance_time(RELAYED_MS)
+    others = [name for name in entries_of(joined, data_centre) if name != told]
+    for token, entry in enumerate(others, 2):
+        joined.handle(entry, submit(token, JOB))
+    joined.advance_time(2 * RUN_MS)
+    assert joined.simultaneous_runs() == []
+
+
 def test_entry_that_has_just_started_is_told_what_was_relayed_before() -> None:
     """Guards against a copy at an entry that started after the relayed messages."""
     joined = make_fleet()
