Report short runs that were lost, so that copies are known as such

What callers saw: the connection of a first submission broke in mid-run, and two copies that came 5 to 120 ms after each other at two entries were both run.

Cause: agents tell other entries at once of runs that should last 200 ms, or that an entry orders for a job that it knows to be a repeat. Short runs that were lost were never reported, so that neither entry knew the job: each took its copy for a new request and the agents kept quiet. An entry that had just started knew no job at all.

Change: the ends of short runs that were lost travel with those that are done, and are relayed. An entry remembers such jobs for 20 s and orders them as repeats, which are reported with the start. In the first 4 s after its start it takes every job for a copy. What a caller is answered does not depend on it.

--- a/src/sardineferry/decision/burst/agent_other_runs.py
+++ b/src/sardineferry/decision/burst/agent_other_runs.py
@@ -12,6 +12,7 @@
 from sardineferry.decision.burst import timing
 from sardineferry.decision.common_effects import Send
 from sardineferry.messages.burst import ENDED_DONE
+from sardineferry.messages.burst import ENDED_REFUSED
 from sardineferry.messages.burst import JobTasks
 from sardineferry.messages.burst import OtherRuns
 from sardineferry.messages.burst import parse_task
@@ -51,16 +52,16 @@
 
 
 def record_end(state: BurstAgentState, run: Run, how: str, now_ms: int) -> None:
-    """Let the end of a run be reported: of a short one only if it is done, and later.
+    """Let the end of a run be reported: of a short one later, if it was started.
 
-    Copies of its request are then answered without another run.
+    Copies of its request are then answered without another run, or known to be copies.
     """
     if how == ENDED_DONE:
         state.recent_done.append((now_ms, run))
     if run.is_reported:
         state.unreported_ends.append((run, how))
-    elif how == ENDED_DONE:
-        state.unreported_short_runs.append(run)
+    elif how != ENDED_REFUSED:
+        state.unreported_short_runs.append((run, how))
         if state.short_runs_due_ms is None:
             state.short_runs_due_ms = now_ms + timing.SHORT_RUN_REPORT_DELAY_MS
 
@@ -73,7 +74,7 @@
 
 
 def report_changes(state: BurstAgentState, now_ms: int) -> None:
-    """Report lasting runs and their ends at once, with the short runs that are done."""
+    """Report lasting runs and their ends at once, with the ends of short runs."""
     is_due = state.short_runs_due_ms is not None and now_ms >= state.short_runs_due_ms
     if not state.unreported_runs and not state.unreported_ends and not is_due:
         return
@@ -81,7 +82,8 @@
     ends, state.unreported_ends = state.unreported_ends, []
     short, state.unreported_short_runs = state.unreported_short_runs, []
     state.short_runs_due_ms = None
-    done = group_by_job([*short, *(run for run, how in ends if how == ENDED_DONE)])
+    ends += short
+    done = group_by_job(run for run, how in ends if how == ENDED_DONE)
     lost = group_by_job(run for run, how in ends if how != ENDED_DONE)
     send_to_other_entries(state, OtherRuns(group_by_job(running), done, lost))
 
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -259,10 +259,10 @@
         self.slowdown_estimator = SlowdownEstimator()
         self.runs: dict[RunRef, Run] = {}
         # Runs that other entries are to be told of, ended ones that they were told of,
-        # with their outcomes, and short ones that are done.
+        # and short ones that have ended, each with its outcome.
         self.unreported_runs: list[Run] = []
         self.unreported_ends: list[tuple[Run, str]] = []
-        self.unreported_short_runs: list[Run] = []
+        self.unreported_short_runs: list[tuple[Run, str]] = []
         # When the oldest of these is due; None if there are none.
         self.short_runs_due_ms: int | None = None
         # The latest runs that are done, with the times of their ends: the reports may
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -331,11 +331,13 @@
 ) -> None:
     """Let other entries of this data centre hear of the end of a run elsewhere."""
     job_id = placed.job.job.job_id
-    if event.how == ENDED_DONE:
+    if event.how == ENDED_REFUSED:
+        state.run_relay.note_change()
+    elif event.how == ENDED_DONE:
         item = JobTasks(job_id, state.name, (placed.task.index,))
         state.run_relay.note_done([item], now_ms)
     else:
-        state.run_relay.note_end(job_id)
+        state.run_relay.note_lost([job_id], now_ms)
 
 
 def fail_probe(state: BurstEntryState, view: AgentView, now_ms: int) -> None:
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -308,6 +308,7 @@
     job = ActiveJob(event.job, route, event.token, arrived_ms, earlier)
     if earlier.attempt:
         state.count_earlier_runs(job)
+    job.may_be_copy = job.may_be_copy or state.may_be_copy(job.job.job_id, arrived_ms)
     run_ms = job.step.estimate_ms * state.worker_slowdowns.typical_slowdown()
     max_wait_ms = int(admission.max_start_wait_ms(job.goal_ms, run_ms))
     job.latest_start_ms = arrived_ms + max_wait_ms
--- a/src/sardineferry/decision/burst/entry_other_runs.py
+++ b/src/sardineferry/decision/burst/entry_other_runs.py
@@ -65,11 +65,14 @@
     for item in event.done:
         state.other_runs.add_done(item.job_id, item.tasks, now_ms)
         mark_done(state, item, now_ms)
+    for item in event.lost:
+        state.other_runs.add_lost(item.job_id, now_ms)
     ended = [item.job_id for item in (*event.done, *event.lost)]
     release_jobs(state, [*named_before, *ended], now_ms)
     if state.is_remote(view):
         state.run_relay.note_done(event.done, now_ms)
-        if event.running or event.lost or event.is_complete:
+        state.run_relay.note_lost((item.job_id for item in event.lost), now_ms)
+        if event.running or event.is_complete:
             state.run_relay.note_change()
 
 
--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -241,7 +241,7 @@
         for task in tasks
         if task.attempt
     }
-    is_repeat = job.ran_before or any(task.attempt for task in tasks)
+    is_repeat = job.may_be_copy or job.ran_before or any(task.attempt for task in tasks)
     is_reported = is_repeat or step.estimate_ms >= timing.LASTING_RUN_MS
     for task in tasks:
         task.attempt += 1
--- a/src/sardineferry/decision/burst/entry_relay.py
+++ b/src/sardineferry/decision/burst/entry_relay.py
@@ -122,6 +122,8 @@
     for item in event.done:
         state.other_runs.add_done(item.job_id, item.tasks, now_ms)
         mark_done(state, item, now_ms)
+    for job_id in event.lost:
+        state.other_runs.add_lost(job_id, now_ms)
     for job_id in event.cancelled:
         apply_cancellation(state, job_id, now_ms)
     release_jobs(state, changed, now_ms)
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -60,6 +60,9 @@
 # Ended jobs are remembered for this long: a copy of a request may arrive seconds after
 # its response.
 ENDED_JOB_RETENTION_MS = 60_000
+# An entry knows of no earlier submissions when it starts. For this long it takes all
+# jobs for copies, as those arrive seconds after an answer.
+UNINFORMED_MS = 4_000
 # Bounds the memory for them, at about 300 bytes a job. An entry that ends more than a
 # thousand jobs a second forgets them sooner.
 MAX_REMEMBERED_JOBS = 65_536
@@ -193,6 +196,8 @@
         self.had_run = False
         # True if another submission, here or at another entry, may have run.
         self.ran_before = earlier.may_have_run
+        # True if this may be a copy of a request, so that others may be about.
+        self.may_be_copy = earlier.attempt > 0
         # True while another entry runs tasks of the job, and until that time after.
         self.is_held = False
         self.release_due_ms: int | None = None
@@ -518,6 +523,13 @@
         """Return whether workers may still be unknown because of the recent start."""
         return self.started_ms is None or now_ms - self.started_ms < WORKER_DISCOVERY_MS
 
+    def may_be_copy(self, job_id: str, now_ms: int) -> bool:
+        """Return whether a job that arrives now may have been submitted before."""
+        is_uninformed = (
+            self.started_ms is None or now_ms - self.started_ms < UNINFORMED_MS
+        )
+        return is_uninformed or self.other_runs.is_known(job_id)
+
     def ready(self) -> bool:
         """Return whether the load balancer should send callers to this entry."""
         return (
--- a/src/sardineferry/decision/burst/other_runs.py
+++ b/src/sardineferry/decision/burst/other_runs.py
@@ -14,7 +14,7 @@
 __all__ = ["KnownOtherRuns", "RelayingEntry", "ReportedTasks", "RunSource"]
 
 # Copies of a request arrive seconds after the end of its job.
-DONE_RETENTION_MS = 20_000
+ENDED_RETENTION_MS = 20_000
 
 
 class DoneTasks(NamedTuple):
@@ -59,13 +59,15 @@
 
 
 class KnownOtherRuns:
-    """The tasks that run for other entries, by source and job, or are done."""
+    """The tasks that run for other entries, by source and job, or have ended."""
 
     def __init__(self) -> None:
         """Know of no runs."""
         self.reported: dict[RunSource, dict[str, ReportedTasks]] = {}
         self.sources_by_job: dict[str, set[RunSource]] = {}
         self.done: OrderedDict[str, DoneTasks] = OrderedDict()
+        # Jobs with runs that were lost, and when the last of these was reported.
+        self.lost: OrderedDict[str, int] = OrderedDict()
 
     def __contains__(self, job_id: str) -> bool:
         """Return whether another entry runs tasks of a job."""
@@ -75,6 +77,10 @@
         """Return whether another entry runs or has run tasks of a job."""
         return job_id in self.sources_by_job or job_id in self.done
 
+    def is_known(self, job_id: str) -> bool:
+        """Return whether a submission of the job has been run, at any entry."""
+        return self.has_run(job_id) or job_id in self.lost
+
     def add(self, source: RunSource, item: JobTasks) -> None:
         """Record that tasks of a job run at an agent."""
         jobs = self.reported.setdefault(source, {})
@@ -97,9 +103,16 @@
     def add_done(self, job_id: str, tasks: Iterable[int], now_ms: int) -> None:
         """Record that tasks are done, and forget those of long ago."""
         self.done.setdefault(job_id, DoneTasks(set(), now_ms)).tasks.update(tasks)
-        while now_ms - next(iter(self.done.values())).since_ms > DONE_RETENTION_MS:
+        while now_ms - next(iter(self.done.values())).since_ms > ENDED_RETENTION_MS:
             self.done.popitem(last=False)
 
+    def add_lost(self, job_id: str, now_ms: int) -> None:
+        """Record that a run of a job was lost, and forget those of long ago."""
+        self.lost[job_id] = now_ms
+        self.lost.move_to_end(job_id)
+        while now_ms - next(iter(self.lost.values())) > ENDED_RETENTION_MS:
+            self.lost.popitem(last=False)
+
     def done_tasks(self, job_id: str) -> Iterable[int]:
         """Return the tasks of a job that are done."""
         known = self.done.get(job_id)
--- a/src/sardineferry/decision/burst/run_relay.py
+++ b/src/sardineferry/decision/burst/run_relay.py
@@ -24,9 +24,9 @@
 
 # Least time between two messages: many runs begin and end in that time.
 RELAY_INTERVAL_MS = 10
-# Tasks that are done and were not relayed before are relayed at most this late. With
-# the delay of their report it is less than the time before a copy.
-DONE_DELAY_MS = 200
+# Ends of runs that were not relayed before are relayed at most this late. With the
+# delay of their report it is less than the time before a copy.
+END_DELAY_MS = 200
 # Time between two complete lists. They replace what was lost with a relay, and show
 # that the entry is alive.
 REFRESH_INTERVAL_MS = 500
@@ -67,8 +67,10 @@
         # Whether runs have begun or ended since the last message.
         self.is_changed = False
         self.done: deque[JobTasks] = deque(maxlen=MAX_WAITING_NEWS)
+        self.lost: deque[str] = deque(maxlen=MAX_WAITING_NEWS)
         self.cancelled: deque[str] = deque(maxlen=MAX_WAITING_NEWS)
-        self.done_due_ms: int | None = None
+        # When the oldest of the ends is due; None if there are none.
+        self.ends_due_ms: int | None = None
         self.last_sent_ms = 0
         self.refresh_due_ms = 0
         # What other entries have relayed to this one.
@@ -78,18 +80,24 @@
         """Note that runs have begun or ended."""
         self.is_changed = True
 
-    def note_end(self, job_id: str) -> None:
-        """Note that a run has ended without being done."""
-        if job_id in self.sent_job_ids:
-            self.is_changed = True
-
     def note_done(self, items: Iterable[JobTasks], now_ms: int) -> None:
-        """Note that tasks are done; it is urgent if their runs were relayed."""
+        """Note that tasks are done."""
         for item in items:
             self.done.append(item)
-            self.note_end(item.job_id)
-            if self.done_due_ms is None:
-                self.done_due_ms = now_ms + DONE_DELAY_MS
+            self.schedule_end(item.job_id, now_ms)
+
+    def note_lost(self, job_ids: Iterable[str], now_ms: int) -> None:
+        """Note that runs of jobs have ended without being done."""
+        for job_id in job_ids:
+            self.lost.append(job_id)
+            self.schedule_end(job_id, now_ms)
+
+    def schedule_end(self, job_id: str, now_ms: int) -> None:
+        """Let an end be relayed soon, or at once if the job's runs were relayed."""
+        if job_id in self.sent_job_ids:
+            self.is_changed = True
+        if self.ends_due_ms is None:
+            self.ends_due_ms = now_ms + END_DELAY_MS
 
     def note_cancelled(self, job_id: str) -> None:
         """Note that a job was cancelled at an entry of another data centre."""
@@ -104,9 +112,9 @@
 
     def is_due(self, now_ms: int) -> bool:
         """Return whether a message or a complete list is due."""
-        is_done_due = self.done_due_ms is not None and now_ms >= self.done_due_ms
+        are_ends_due = self.ends_due_ms is not None and now_ms >= self.ends_due_ms
         return now_ms >= self.last_sent_ms + RELAY_INTERVAL_MS and (
-            self.is_changed or is_done_due or now_ms >= self.refresh_due_ms
+            self.is_changed or are_ends_due or now_ms >= self.refresh_due_ms
         )
 
     def next_due_ms(self, now_ms: int) -> int | None:
@@ -115,7 +123,7 @@
             return None
         if self.is_changed:
             return max(now_ms, self.last_sent_ms + RELAY_INTERVAL_MS)
-        return self.done_due_ms
+        return self.ends_due_ms
 
     def take_message(
         self, entry: RelayingEntry, running: RunSnapshot, now_ms: int
@@ -125,11 +133,13 @@
         if is_complete:
             self.refresh_due_ms = now_ms + REFRESH_INTERVAL_MS
         began, ended = compare(self.sent, running)
-        done, cancelled = tuple(self.done), tuple(self.cancelled)
-        has_news = began or ended or done or cancelled or (is_complete and running)
+        lost = tuple(dict.fromkeys(self.lost))
+        news = (tuple(self.done), lost, tuple(self.cancelled))
+        has_news = began or ended or any(news) or (is_complete and running)
         self.is_changed = False
-        self.done_due_ms = None
+        self.ends_due_ms = None
         self.done.clear()
+        self.lost.clear()
         self.cancelled.clear()
         if not has_news:
             return None
@@ -143,9 +153,8 @@
             self.sequence,
             group_by_agent(running if is_complete else began),
             () if is_complete else group_by_agent(ended),
-            done,
-            cancelled,
-            is_complete,
+            *news,
+            is_complete=is_complete,
         )
 
 
--- a/src/sardineferry/messages/burst.py
+++ b/src/sardineferry/messages/burst.py
@@ -211,8 +211,8 @@
     The agent refuses the order after ``expires_ms``. ``estimate_ms`` is the
     expected run time of one task on a worker whose slowdown is 1. ``movable`` is
     true if none of the tasks has been stopped before for being slow. ``is_repeat`` is
-    true if the job has been submitted or a task ordered before: then other entries are
-    told at once, as copies of the request may be about.
+    true if the job may have been submitted before, or a task was ordered before: then
+    other entries are told at once, as copies of the request may be about.
     """
 
     order: int
@@ -268,9 +268,9 @@
 class OtherRuns(NamedTuple):
     """Agent to entry: runs at its worker that other entries have ordered.
 
-    ``running`` are new runs that last; ``lost`` are such runs that have ended without
-    the outcome done. ``done`` are runs with that outcome, also short ones. The first
-    report on a link ``is_complete``: it lists all that go on.
+    ``running`` are new runs that last. ``done`` and ``lost`` are runs that have ended
+    with or without that outcome, also short ones. The first report on a link
+    ``is_complete``: it lists all that go on.
     """
 
     running: tuple[JobTasks, ...]
@@ -291,10 +291,11 @@
     """Entry to agent, passed on to the other entries of their data centre.
 
     It tells what the entry knows of agents in other data centres, which are not linked
-    to those entries: runs that began or ended there, tasks that are done, and jobs that
-    were cancelled. If it ``is_complete``, it lists all runs that go on. ``sequence``
-    rises with each message of this process. An agent that repeats it for an entry that
-    has just linked sets ``age_ms``, the time since it arrived.
+    to those entries: runs that began or ended there, tasks that are done, jobs whose
+    runs were lost, and jobs that were cancelled. If it ``is_complete``, it lists all
+    runs that go on. ``sequence`` rises with each message of this process. An agent that
+    repeats it for an entry that has just linked sets ``age_ms``, the time since it
+    arrived.
     """
 
     entry: str
@@ -303,6 +304,7 @@
     running: tuple[AgentRuns, ...] = ()
     ended: tuple[AgentRuns, ...] = ()
     done: tuple[JobTasks, ...] = ()
+    lost: tuple[str, ...] = ()
     cancelled: tuple[str, ...] = ()
     is_complete: bool = False
     age_ms: int = 0
--- a/tests/decision/burst/test_relayed_runs.py
+++ b/tests/decision/burst/test_relayed_runs.py
@@ -149,7 +149,7 @@
 def test_copy_of_a_job_that_was_cancelled_in_another_data_centre_is_not_run(
     place: str,
 ) -> None:
-    """Guards against review/9: a cancellation reached one entry of each other one."""
+    """Guards against review/8: a cancellation reached one entry of each other one."""
     joined = make_fleet()
     submitted = submit(1, JOB)
     joined.handle("e", submitted)
@@ -283,3 +283,54 @@
     later = [run for run in joined.runs() if run.start_ms > lost_ms]
     assert len(later) == submitted.steps[0].tasks
     assert joined.simultaneous_runs() == []
+
+
+@pytest.mark.parametrize("end", ["caller left", "killed"])
+@pytest.mark.parametrize(
+    ("second", "third"), [("f", "g"), ("g", "h"), ("f", "k"), ("g", "i")]
+)
+@pytest.mark.parametrize("copy_delay_ms", [RELAYED_MS, 60])
+def test_copies_of_a_job_whose_short_runs_were_lost_never_meet(
+    end: str, second: str, third: str, copy_delay_ms: int
+) -> None:
+    """Guards against two entries that both take a copy for a new request."""
+    run_ms = 150
+    joined = make_fleet(run_ms)
+    short = job(tasks=2, estimate_ms=run_ms)
+    joined.handle("e", submit(1, short))
+    joined.advance_time(50)
+    if end == "caller left":
+        joined.handle("e", CallerLeft(1))
+    else:
+        joined.kill("e")
+    joined.advance_time(RETRANSMIT_MS)
+    assert joined.replies_to(1) == []
+    joined.handle(second, submit(2, short))
+    joined.advance_time(copy_delay_ms)
+    joined.handle(third, submit(3, short))
+    joined.advance_time(1_000)
+    assert joined.simultaneous_runs() == []
+    assert joined.replies_to(2) == [ReplyKind.COMPLETED]
+    assert joined.replies_to(3) == [ReplyKind.COMPLETED]
+
+
+@pytest.mark.parametrize("copy_delay_ms", [RELAYED_MS, 60])
+def test_entry_that_has_just_started_tells_others_of_all_its_runs(
+    copy_delay_ms: int,
+) -> None:
+    """Guards against taking a copy for a new request for want of knowledge."""
+    run_ms = 150
+    joined = make_fleet(run_ms)
+    short = job(tasks=2, estimate_ms=run_ms)
+    joined.kill("f")
+    joined.advance_time(1_000)
+    joined.restart_entry("f")
+    joined.handle("f", ConfigurationRead(b"1"))
+    joined.advance_time(500)
+    joined.handle("f", submit(1, short))
+    joined.advance_time(copy_delay_ms)
+    for token, entry in enumerate("ghijk", 2):
+        joined.handle(entry, submit(token, short))
+    joined.advance_time(1_000)
+    assert joined.simultaneous_runs() == []
+    assert len(joined.runs()) == short.steps[0].tasks
