Name cancelled jobs to agents that link later

Cause: an entry names a cancelled job to two agents once. After a freeze its links are closed or lost without notice, so nobody heard of it.

Change: an entry keeps its last 512 cancellations for 10 s and names them to every agent that announces itself. An agent passes each on once.

test_job_submitted_again_never_meets_its_run_whose_stop_was_lost expected that a job that was cancelled while its links were broken runs again at another entry. It now expects the cancellation to be final there too.

--- a/src/sardineferry/decision/burst/agent_links.py
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -223,7 +223,12 @@
 def on_job_cancelled(
     event: JobCancelled, state: BurstAgentState, sender: str, now_ms: int
 ) -> None:
-    """Pass a cancellation on to the other entries, also to those that link soon."""
+    """Pass a cancellation on to the other entries, also to those that link soon.
+
+    An entry repeats its cancellations on a new link; one is passed on once.
+    """
+    if any(job_id == event.job_id for _, job_id in state.cancelled_jobs):
+        return
     state.cancelled_jobs.append((now_ms, event.job_id))
     state.effects.extend(
         Send(view.link, event)
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -9,6 +9,7 @@
 from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.entry_callers import finish_job
 from sardineferry.decision.burst.entry_callers import finish_job_if_done
+from sardineferry.decision.burst.entry_cancellations import recent_cancellations
 from sardineferry.decision.burst.entry_dispatch import handle_entry_event
 from sardineferry.decision.burst.entry_other_runs import add_unknown_runs
 from sardineferry.decision.burst.entry_other_runs import end_unknown_run
@@ -97,6 +98,9 @@
         state.known_entries,
     )
     state.effects.append(Send(sender, welcome))
+    state.effects.extend(
+        Send(sender, cancelled) for cancelled in recent_cancellations(state, now_ms)
+    )
     state.effects.extend(state.config_relay.announce([sender]))
     log_agent(state, "agent linked", view, now_ms)
 
--- a/src/sardineferry/decision/burst/entry_cancellations.py
+++ b/src/sardineferry/decision/burst/entry_cancellations.py
@@ -21,10 +21,12 @@
 if TYPE_CHECKING:
     from sardineferry.decision.burst.entry_state import BurstEntryState
 
-__all__ = ["apply_cancellation"]
+__all__ = ["apply_cancellation", "recent_cancellations"]
 
 # The agents that pass a cancellation on: two, in case one is lost.
 CANCELLATION_RELAYS = 2
+# As long as an agent names cancelled jobs to entries that link.
+CANCELLATIONS_RESEND_WINDOW_MS = 10_000
 
 
 @handle_entry_event.register(CancelJob)
@@ -44,23 +46,34 @@
         return
     else:
         finish_job(state, found, ReplyKind.CANCELLED, "cancelled", now_ms)
-    notify_cancellation(state, job_id)
+    notify_cancellation(state, job_id, now_ms)
     state.effects.append(BurstReply(event.token, ReplyKind.CANCELLED))
 
 
-def notify_cancellation(state: BurstEntryState, job_id: str) -> None:
+def notify_cancellation(state: BurstEntryState, job_id: str, now_ms: int) -> None:
     """Tell other entries over agents that a job is cancelled, as copies may come there.
 
     Agents of the own data centre are preferred: they are linked to all its entries.
+    Agents that link later are told as well: links that count as open may be lost.
     """
+    state.cancellations.append((now_ms, job_id))
     linked = sorted(
         (view for view in state.agents.values() if view.linked),
-        key=lambda view: view.data_centre != state.data_centre,
+        key=state.is_remote,
     )
     relays = linked[:CANCELLATION_RELAYS]
     state.effects.extend(Send(view.name, JobCancelled(job_id)) for view in relays)
 
 
+def recent_cancellations(state: BurstEntryState, now_ms: int) -> list[JobCancelled]:
+    """Return the jobs that were cancelled here lately, for an agent that has linked."""
+    return [
+        JobCancelled(job_id)
+        for cancelled_ms, job_id in state.cancellations
+        if now_ms - cancelled_ms <= CANCELLATIONS_RESEND_WINDOW_MS
+    ]
+
+
 @handle_entry_event.register(JobCancelled)
 def on_job_cancelled(
     event: JobCancelled, state: BurstEntryState, sender: str, now_ms: int
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections import OrderedDict
+from collections import deque
 from enum import Enum
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -63,6 +64,8 @@
 # An entry knows of no earlier submissions when it starts. For this long it takes all
 # jobs for copies, as those arrive seconds after an answer.
 UNINFORMED_MS = 4_000
+# Bounds the memory for cancelled jobs that agents are told of when they link.
+MAX_CANCELLATIONS = 512
 # Bounds the memory for them, at about 300 bytes a job. An entry that ends more than a
 # thousand jobs a second forgets them sooner.
 MAX_REMEMBERED_JOBS = 65_536
@@ -451,6 +454,8 @@
         self.other_runs = KnownOtherRuns()
         self.run_relay = RunRelay()
         self.ended_jobs: OrderedDict[str, EndedJob] = OrderedDict()
+        # The latest jobs that were cancelled here, with the times.
+        self.cancellations: deque[tuple[int, str]] = deque(maxlen=MAX_CANCELLATIONS)
         self.worker_slowdowns = WorkerSlowdowns()
         self.next_order = 1
         self.started_ms: int | None = None
--- a/tests/decision/burst/test_lost_stops.py
+++ b/tests/decision/burst/test_lost_stops.py
@@ -110,8 +110,8 @@
     joined.handle(entry, submit(3, job(tasks=tasks, estimate_ms=RUN_MS)))
     joined.advance_time(RUN_MS)
     runs_again = joined.runs()[-1].start_ms >= submitted_again_ms
-    # An acknowledged cancelling is final.
-    is_cancelled = job_end == "cancelled" and entry == "e"
+    # An acknowledged cancelling is final, at all entries.
+    is_cancelled = job_end == "cancelled"
     assert runs_again is not is_cancelled
     assert not is_cancelled or joined.replies_to(3) == [ReplyKind.CANCELLED]
     assert joined.simultaneous_runs() == []
--- a/tests/decision/burst/test_relayed_runs.py
+++ b/tests/decision/burst/test_relayed_runs.py
@@ -334,3 +334,29 @@
     joined.advance_time(1_000)
     assert joined.simultaneous_runs() == []
     assert len(joined.runs()) == short.steps[0].tasks
+
+
+@pytest.mark.parametrize("is_noticed", [False, True])
+def test_job_that_was_cancelled_without_links_is_cancelled_once_they_are_back(
+    is_noticed: bool,
+) -> None:
+    """Guards against review/10: an entry that has frozen tells nobody."""
+    joined = make_fleet()
+    submitted = submit(1, JOB)
+    joined.handle("e", submitted)
+    joined.advance_time(RELAYED_MS)
+    links = [link for link in joined.links if link[1] == "e"]
+    for link in links:
+        joined.break_link(*link)
+        if is_noticed:
+            joined.report_break("e", link[0])
+    joined.handle("e", CancelJob(2, submitted.host, submitted.path))
+    for link in links:
+        joined.report_break(*link)
+        joined.open_link(*link)
+    joined.advance_time(RELAYED_MS)
+    for token, entry in enumerate(ENTRIES, 3):
+        joined.handle(entry, submit(token, JOB))
+        assert joined.replies_to(token) == [ReplyKind.CANCELLED]
+    joined.advance_time(RUN_MS)
+    assert len(joined.runs()) == JOB.steps[0].tasks
