Cancel jobs that wait at another entry

Cause: an entry passed a cancellation on only if it had the job or had been told of its runs. Nobody reports jobs that wait.

Change: the cancellation of a job that an entry does not know is remembered and passed on like any other. It is still answered 410. One of a job that has an outcome here is not passed on.

--- a/src/sardineferry/decision/burst/entry_cancellations.py
+++ b/src/sardineferry/decision/burst/entry_cancellations.py
@@ -35,19 +35,23 @@
 ) -> None:
     """Cancel a job; answer its submitters and the caller that cancels.
 
-    A job that another entry runs is cancelled there.
+    A job that another entry runs is cancelled there, and so is one that is not known
+    here, as it may wait at another entry.
     """
     found = find_job(state, event.host, event.path)
     job_id = event.path.rpartition("/")[2]
-    if found is ReplyKind.NO_JOB and job_id in state.other_runs:
-        remember_cancellation(state, job_id, now_ms)
+    kind = ReplyKind.CANCELLED
+    if found is ReplyKind.NO_JOB:
+        if job_id not in state.other_runs:
+            kind = found
+        if remember_cancellation(state, job_id, now_ms):
+            notify_cancellation(state, job_id, now_ms)
     elif isinstance(found, ReplyKind):
-        state.effects.append(BurstReply(event.token, found))
-        return
+        kind = found
     else:
-        finish_job(state, found, ReplyKind.CANCELLED, "cancelled", now_ms)
-    notify_cancellation(state, job_id, now_ms)
-    state.effects.append(BurstReply(event.token, ReplyKind.CANCELLED))
+        finish_job(state, found, kind, "cancelled", now_ms)
+        notify_cancellation(state, job_id, now_ms)
+    state.effects.append(BurstReply(event.token, kind))
 
 
 def notify_cancellation(state: BurstEntryState, job_id: str, now_ms: int) -> None:
--- a/tests/decision/burst/test_relayed_runs.py
+++ b/tests/decision/burst/test_relayed_runs.py
@@ -15,6 +15,7 @@
 from sardineferry.decision.burst.requests import ConfigurationRead
 from sardineferry.decision.burst.requests import ReplyKind
 from sardineferry.messages.burst import Resources
+from tests.decision.burst.drive import NEED
 from tests.decision.burst.drive import TOTAL
 from tests.decision.burst.drive import job
 from tests.decision.burst.drive import route
@@ -336,6 +337,28 @@
     assert len(joined.runs()) == short.steps[0].tasks
 
 
+@pytest.mark.parametrize("place", list("fghijk"))
+def test_cancelling_at_an_entry_that_does_not_know_a_waiting_job_cancels_it(
+    place: str,
+) -> None:
+    """Guards against review/9: nobody reports jobs that wait."""
+    joined = make_fleet()
+    room = len(AGENTS) * TOTAL.cpu // NEED.cpu
+    joined.handle("e", submit(100, job(2, tasks=room, estimate_ms=RUN_MS)))
+    joined.advance_time(RELAYED_MS)
+    waiting = submit(1, JOB)
+    joined.handle("e", waiting)
+    joined.advance_time(100)
+    joined.handle(place, CancelJob(2, waiting.host, waiting.path))
+    joined.advance_time(2 * RUN_MS)
+    assert joined.replies_to(1) == [ReplyKind.CANCELLED]
+    assert joined.replies_to(2) == [ReplyKind.NO_JOB]
+    assert len(joined.runs()) == room
+    for token, entry in enumerate(ENTRIES, 3):
+        joined.handle(entry, submit(token, JOB))
+        assert joined.replies_to(token) == [ReplyKind.CANCELLED]
+
+
 @pytest.mark.parametrize("is_noticed", [False, True])
 def test_job_that_was_cancelled_without_links_is_cancelled_once_they_are_back(
     is_noticed: bool,
