Place no jobs until the agents have linked after a start

Cause: an entry ordered as soon as one agent was linked. Agents dial an entry that has started within 120 ms; the one that has the runs may be the last.

Change: jobs wait until 150 ms after the first link. This also covers what neighbours relay, which comes with the links.

Measured: test_entry_that_starts_waits_for_the_links_of_all_agents fails before, and passes now.

--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -89,6 +89,8 @@
         view.earlier_reports_expire_ms = now_ms + timing.RUNS_ENDED_AFTER_MS
     view.incarnation = event.incarnation
     view.linked = True
+    if state.first_link_ms is None:
+        state.first_link_ms = now_ms
     view.last_heard_ms = now_ms
     welcome = EntryWelcome(
         state.name,
--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -78,9 +78,10 @@
 def place_waiting_tasks(state: BurstEntryState, now_ms: int) -> None:
     """Place waiting tasks if some may fit since the last call.
 
-    Jobs with tasks that do not fit stay in the queue.
+    Jobs with tasks that do not fit stay in the queue. After a start none are placed
+    until all agents should have linked, which tell what runs.
     """
-    if not state.queue or not state.placement_due:
+    if not state.queue or not state.placement_due or state.is_awaiting_links(now_ms):
         return
     state.placement_due = False
     min_cpu = min(job.step.need.cpu for job in state.queue)
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -55,6 +55,8 @@
 # Within this time of its start an entry learns of all workers: agents connect
 # within 120 ms, and a worker that has just started reports within 1 s.
 WORKER_DISCOVERY_MS = 1_500
+# From the first link on, within this time those of all agents should be open.
+LINK_SETUP_MS = 150
 # A measured offset between two clocks is used for this long: clocks that drift apart by
 # 100 ppm then differ by 1 ms more.
 CLOCK_OFFSET_VALID_MS = 10_000
@@ -459,6 +461,8 @@
         self.worker_slowdowns = WorkerSlowdowns()
         self.next_order = 1
         self.started_ms: int | None = None
+        # When the first agent linked.
+        self.first_link_ms: int | None = None
         # What had arrived by this time has been applied.
         self.inputs_ms = 0
         # When the process last resumed after a pause; 0 if it never paused.
@@ -524,6 +528,10 @@
         """Return whether a job has not ended; a later submission is another job."""
         return self.jobs.get(job.job.job_id) is job
 
+    def is_awaiting_links(self, now_ms: int) -> bool:
+        """Return whether agents may yet have to link after the start."""
+        return self.first_link_ms is None or now_ms - self.first_link_ms < LINK_SETUP_MS
+
     def is_discovering_workers(self, now_ms: int) -> bool:
         """Return whether workers may still be unknown because of the recent start."""
         return self.started_ms is None or now_ms - self.started_ms < WORKER_DISCOVERY_MS
--- a/tests/decision/burst/test_relayed_runs.py
+++ b/tests/decision/burst/test_relayed_runs.py
@@ -36,6 +36,8 @@
 # As for agents that report themselves, see test_late_copies.
 KEPT_MS = 1_266 + 2 * 200
 LATE_COPY_MS = 2_000
+# Agents dial an entry that has started again within this time.
+LINK_DELAY_MS = 120
 JOB = job(tasks=2, estimate_ms=RUN_MS)
 # Three entries and two agents in each of two data centres, one of each in a third.
 DATA_CENTRES = {
@@ -383,3 +385,49 @@
         assert joined.replies_to(token) == [ReplyKind.CANCELLED]
     joined.advance_time(RUN_MS)
     assert len(joined.runs()) == JOB.steps[0].tasks
+
+
+@pytest.mark.parametrize("places", ["ijk", "fghijk", "gk"])
+def test_entries_that_hold_copies_release_them_one_after_the_other(
+    places: str,
+) -> None:
+    """Guards against many entries that start a job at once when its runs are lost."""
+    joined = make_fleet(run_ms=2 * RUN_MS)
+    submitted = job(tasks=2, estimate_ms=2 * RUN_MS)
+    joined.handle("e", submit(1, submitted))
+    joined.advance_time(RELAYED_MS)
+    for token, entry in enumerate(places, 2):
+        joined.handle(entry, submit(token, submitted))
+    joined.advance_time(100)
+    joined.handle("e", CallerLeft(1))
+    joined.advance_time(5 * RUN_MS)
+    assert joined.simultaneous_runs() == []
+    assert len(joined.runs()) == 2 * submitted.steps[0].tasks
+    for token in range(2, 2 + len(places)):
+        assert joined.replies_to(token) == [ReplyKind.COMPLETED]
+
+
+def test_entry_that_starts_waits_for_the_links_of_all_agents() -> None:
+    """Guards against a copy that is run before the agent of its job has linked."""
+    joined = make_fleet()
+    joined.handle("f", submit(1, JOB))
+    joined.advance_time(RELAYED_MS)
+    joined.kill("g")
+    joined.advance_time(1_000)
+    joined.start_entry("g", "again")
+    joined.handle("g", ConfigurationRead(b"1"))
+    linked = [agent for agent in AGENTS if "g" in joined.linked_entries[agent]]
+    busy = {run.agent for run in joined.runs()}
+    idle = [agent for agent in linked if agent not in busy]
+    assert idle
+    assert busy <= set(linked)
+    for agent in idle:
+        joined.open_link(agent, "g")
+    joined.advance_time(5)
+    joined.handle("g", submit(2, JOB))
+    joined.advance_time(LINK_DELAY_MS - 5)
+    for agent in busy:
+        joined.open_link(agent, "g")
+    joined.advance_time(2 * RUN_MS)
+    assert joined.simultaneous_runs() == []
+    assert joined.replies_to(2) == [ReplyKind.COMPLETED]
