Simulate cancellations, and several entries in a data centre

Callers now cancel a share of their jobs at a random entry, in two more mixes, and the runs that begin or go on later than the platform allows are found. `--entries 7` has two or three entries in a data centre.

--- a/bench/virtual/burst_faults.py
+++ b/bench/virtual/burst_faults.py
@@ -23,6 +23,7 @@
 
 __all__ = [
     "CallerReset",
+    "Cancellations",
     "Kill",
     "LateCopies",
     "LinkReset",
@@ -36,6 +37,7 @@
 USUAL_DELAY_MS = 2.0
 # The platform says that a copy arrives seconds after the answer.
 COPY_DELAY_MS = (1_000.0, 4_000.0)
+CANCEL_DELAY_MS = (20.0, 1_500.0)
 
 
 class LateCopies(NamedTuple):
@@ -62,6 +64,21 @@
         return rng.uniform(*COPY_DELAY_MS) if rng.random() < self.copied else None
 
 
+class Cancellations(NamedTuple):
+    """From now on callers cancel a share of their jobs, at any entry."""
+
+    start_ms: int
+    share: float = 0.3
+
+    def apply(self, simulation: BurstSimulation) -> None:
+        """Let the simulation ask for each job."""
+        simulation.cancel_policy = self
+
+    def draw_cancel_delay_ms(self, rng: random.Random) -> float | None:
+        """Return when after its submission a job is cancelled, or None if it isn't."""
+        return rng.uniform(*CANCEL_DELAY_MS) if rng.random() < self.share else None
+
+
 class LinkReset(NamedTuple):
     """A share of the links breaks; if a process is named, only of its links.
 
--- a/bench/virtual/burst_load.py
+++ b/bench/virtual/burst_load.py
@@ -46,6 +46,7 @@
 from sardineferry.decision.burst.requests import BurstReply
 from sardineferry.decision.burst.requests import BurstStep
 from sardineferry.decision.burst.requests import CallerLeft
+from sardineferry.decision.burst.requests import CancelJob
 from sardineferry.decision.burst.requests import ConfigurationRead
 from sardineferry.decision.burst.requests import ReplyKind
 from sardineferry.decision.burst.requests import SubmitJob
@@ -80,6 +81,7 @@
     "AgentNode",
     "Burst",
     "BurstSimulation",
+    "CancelPolicy",
     "Choke",
     "CopyPolicy",
     "DeploymentSize",
@@ -96,6 +98,7 @@
     "WorkerLimits",
     "find_overlapping_runs",
     "find_simultaneous_runs",
+    "find_unasked_runs",
     "run_load",
     "run_simulation",
 ]
@@ -127,7 +130,9 @@
 MAX_HOLD_MS = 1_000
 WORKER_ID = "w"
 # Copies of a request may arrive after these replies.
-ANSWERED_ONCE = (ReplyKind.COMPLETED, ReplyKind.FAILED)
+ANSWERED_ONCE = (ReplyKind.COMPLETED, ReplyKind.FAILED, ReplyKind.CANCELLED)
+# These acknowledge a cancellation.
+CANCELLATION_ACKNOWLEDGED = (ReplyKind.CANCELLED, ReplyKind.NO_JOB)
 
 
 class JobKind(NamedTuple):
@@ -971,6 +976,13 @@
         """Return when after the answer a copy arrives, or None if none does."""
 
 
+class CancelPolicy(Protocol):
+    """Decides which jobs their callers cancel."""
+
+    def draw_cancel_delay_ms(self, rng: random.Random) -> float | None:
+        """Return when after its submission a job is cancelled, or None if it isn't."""
+
+
 class LinkState:
     """The link between an agent and an entry; a new connection has a new number."""
 
@@ -1015,6 +1027,10 @@
         self.has_faults = False
         self.callers: dict[int, Caller] = {}
         self.copy_policy: CopyPolicy | None = None
+        self.cancel_policy: CancelPolicy | None = None
+        # Jobs that are being cancelled, by token, and when it was acknowledged, by job.
+        self.cancelling: dict[int, str] = {}
+        self.cancelled_ms: dict[str, float] = {}
         self.next_token = FIRST_TOKEN_OF_RETURNS
         self.links: dict[tuple[str, str], LinkState] = {}
         # Decisions and lost messages, with their times and processes, if recorded.
@@ -1202,6 +1218,9 @@
 
         With faults, a caller that gets no answer submits its job again.
         """
+        cancelled_job = self.cancelling.pop(effect.token, "")
+        if cancelled_job and effect.kind in CANCELLATION_ACKNOWLEDGED:
+            self.cancelled_ms.setdefault(cancelled_job, self.clock.now_ms)
         caller = self.callers.pop(effect.token, None)
         if caller is None or caller.is_copy:
             return
@@ -1250,6 +1269,18 @@
         event = SubmitJob(token, HOST, caller.path, caller.job)
         caller.entry.handle(event, "", f"caller {token}")
 
+    def cancel_job(self, token: int) -> None:
+        """Cancel a job whose caller still waits, at a random entry."""
+        caller = self.callers.get(token)
+        live = [entry for entry in self.entries.values() if not entry.is_killed]
+        if caller is None or not live:
+            return
+        self.next_token += 1
+        self.cancelling[self.next_token] = caller.job.job_id
+        event = CancelJob(self.next_token, HOST, caller.path)
+        channel = f"caller {self.next_token}"
+        self.fault_random.choice(live).handle(event, "", channel)
+
     def capacity_per_second(self) -> float:
         """Return the work that all workers do in a second.
 
@@ -1290,6 +1321,10 @@
         job = BurstJob(job_id, "", (step,), "")
         entry = rng.choice(list(self.entries.values()))
         self.send_job(token, Caller(token, f"{kind.path}{job_id}", job, entry))
+        if self.cancel_policy is not None:
+            delay_ms = self.cancel_policy.draw_cancel_delay_ms(self.fault_random)
+            if delay_ms is not None:
+                self.clock.run_after(delay_ms, partial(self.cancel_job, token))
 
 
 def data_centre_of(node: Node) -> str:
@@ -1387,6 +1422,18 @@
     ]
 
 
+def find_unasked_runs(simulation: BurstSimulation, limit_ms: int) -> list[PastRun]:
+    """Return runs that began or went on for longer than this after a cancellation."""
+    return [
+        PastRun(start_ms, end_ms, run, agent.name)
+        for agent in simulation.agents.values()
+        for run, start_ms, end_ms in agent.past_runs
+        if end_ms
+        > simulation.cancelled_ms.get(run.task.partition(".")[0], float("inf"))
+        + limit_ms
+    ]
+
+
 def find_simultaneous_runs(
     simulation: BurstSimulation,
 ) -> list[tuple[RunRef, RunRef]]:
--- a/bench/virtual/two_runs.py
+++ b/bench/virtual/two_runs.py
@@ -1,4 +1,4 @@
-"""Looks for two runs of a task at once under combined faults, in virtual time.
+"""Looks for two runs of a task at once, and runs of cancelled jobs, in virtual time.
 
 Each seed draws its own faults, of the kinds of a mix. ``python -m
 bench.virtual.two_runs --help`` shows how to run it by hand.
@@ -14,6 +14,7 @@
 import cyclopts
 
 from bench.virtual.burst_faults import CallerReset
+from bench.virtual.burst_faults import Cancellations
 from bench.virtual.burst_faults import Kill
 from bench.virtual.burst_faults import LateCopies
 from bench.virtual.burst_faults import LinkReset
@@ -27,6 +28,7 @@
 from bench.virtual.burst_load import PastRun
 from bench.virtual.burst_load import PausePoint
 from bench.virtual.burst_load import find_overlapping_runs
+from bench.virtual.burst_load import find_unasked_runs
 from bench.virtual.burst_load import run_simulation
 
 if TYPE_CHECKING:
@@ -34,10 +36,12 @@
 
 __all__ = [
     "ALL_LINKED",
+    "CANCEL_LIMIT_MS",
     "MIXES",
     "SEVERAL_PER_DATA_CENTRE",
     "Overlap",
     "find_overlaps",
+    "simulate",
 ]
 
 SIZE = DeploymentSize(entries=4, workers=12, utilization=0.4)
@@ -55,6 +59,9 @@
 ENTRY_RESTART_MS = (300, 2_500)
 AGENT_RESTART_MS = (100, 1_500)
 
+# Set by the platform: how long after an acknowledged cancellation a task may run.
+CANCEL_LIMIT_MS = 3_000 + 50
+
 # The kinds of faults that are drawn together.
 MIXES: dict[str, tuple[str, ...]] = {
     "pauses": ("pause",),
@@ -68,6 +75,8 @@
     "late copies, entries killed": ("copies", "kill entry"),
     "late copies, links reset": ("copies", "links"),
     "late copies, callers return": ("copies", "return"),
+    "late copies, cancelled": ("copies", "cancels"),
+    "late copies, cancelled, links reset": ("copies", "cancels", "links"),
     "all but stray reports": (
         "pause with callers",
         "pause with callers and kill",
@@ -124,6 +133,9 @@
             if kind == "copies":
                 faults.append(LateCopies(0))
                 continue
+            if kind == "cancels":
+                faults.append(Cancellations(0))
+                continue
             at_ms = float(FIRST_FAULT_MS)
             while at_ms < LOAD_MS:
                 faults += self.draw_one(kind, int(at_ms))
@@ -168,12 +180,22 @@
         return faults
 
 
-def find_overlaps(mix: str, seed: int, size: DeploymentSize = SIZE) -> list[Overlap]:
-    """Simulate the faults of a mix and a seed; return the overlapping runs."""
+def simulate(mix: str, seed: int, size: DeploymentSize) -> BurstSimulation:
+    """Simulate the faults of a mix and a seed."""
     simulation = BurstSimulation(size, DEFAULT_HETEROGENEITY, seed, SLOWEST_WORKERS)
     simulation.history = []
     faults = Drawer(simulation, seed).draw(MIXES[mix])
     run_simulation(simulation, (), (), LOAD_MS, faults)
+    return simulation
+
+
+def find_overlaps(mix: str, seed: int, size: DeploymentSize = SIZE) -> list[Overlap]:
+    """Simulate the faults of a mix and a seed; return the overlapping runs."""
+    return explain_overlaps(simulate(mix, seed, size))
+
+
+def explain_overlaps(simulation: BurstSimulation) -> list[Overlap]:
+    """Return the overlapping runs of a simulation."""
     return [
         explain_overlap(simulation, first, second)
         for first, second in find_overlapping_runs(simulation)
@@ -246,16 +268,21 @@
 
     """
     for name in [mix] if mix else MIXES:
-        overlaps_by_seed = {
-            seed: found
-            for seed in range(first, first + seeds)
-            if (found := find_overlaps(name, seed, SIZE._replace(entries=entries)))
-        }
+        overlaps_by_seed: dict[int, list[Overlap]] = {}
+        unasked_by_seed: dict[int, int] = {}
+        for seed in range(first, first + seeds):
+            simulation = simulate(name, seed, SIZE._replace(entries=entries))
+            if found := explain_overlaps(simulation):
+                overlaps_by_seed[seed] = found
+            if unasked := len(find_unasked_runs(simulation, CANCEL_LIMIT_MS)):
+                unasked_by_seed[seed] = unasked
         overlaps = [item for found in overlaps_by_seed.values() for item in found]
         print(
             f"{name}: {len(overlaps)} overlaps on {len(overlaps_by_seed)} of {seeds} "
             f"seeds {list(overlaps_by_seed)}"
         )
+        if unasked_by_seed:
+            print(f"  runs of cancelled jobs by seed: {unasked_by_seed}")
         looks = Counter(
             (
                 f"attempts {item.first.run.attempt}, {item.second.run.attempt}",
--- a/tests/decision/burst/test_combined_faults.py
+++ b/tests/decision/burst/test_combined_faults.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import pytest
+from bench.virtual.burst_load import find_overlapping_runs
+from bench.virtual.burst_load import find_unasked_runs
 from bench.virtual.two_runs import ALL_LINKED
+from bench.virtual.two_runs import CANCEL_LIMIT_MS
 from bench.virtual.two_runs import SEVERAL_PER_DATA_CENTRE
 from bench.virtual.two_runs import find_overlaps
+from bench.virtual.two_runs import simulate
 
 
 @pytest.mark.parametrize(
@@ -61,3 +65,18 @@
 ) -> None:
     """Guards against review/6 and review/7, with several entries in a data centre."""
     assert find_overlaps(mix, seed, SEVERAL_PER_DATA_CENTRE) == []
+
+
+@pytest.mark.parametrize(
+    ("mix", "seed"),
+    [
+        ("late copies, cancelled", 1),
+        ("late copies, cancelled, links reset", 1),
+    ],
+)
+def test_cancelled_jobs_are_not_run_by_any_entry(mix: str, seed: int) -> None:
+    """Guards against review/8 to 10, with several entries in a data centre."""
+    simulation = simulate(mix, seed, SEVERAL_PER_DATA_CENTRE)
+    assert simulation.cancelled_ms
+    assert find_unasked_runs(simulation, CANCEL_LIMIT_MS) == []
+    assert find_overlapping_runs(simulation) == []
