Test the programs with copies at entries that an agent is not linked to

Seven entries in three data centres; copies at six of them, 50 ms apart, after a job that is completed or whose connection broke in mid-run.

--- a/tests/process/test_late_copies.py
+++ b/tests/process/test_late_copies.py
@@ -65,3 +65,37 @@
     ]
     met = itertools.chain.from_iterable(map(overlapping_runs, by_task))
     assert list(met) == []
+
+
+@pytest.fixture
+def large_fleet() -> Iterator[DeployedFleet]:
+    # Two or three entries in each data centre, of which an agent is linked to one.
+    with DeployedFleet(7, 5, data_centres=3) as started:
+        yield started
+
+
+@pytest.mark.parametrize("work_ms", [150, 1_500], ids=["short", "long"])
+@pytest.mark.parametrize("first_end", ["completed", "broken"])
+def test_copies_at_any_entry_never_meet_runs(
+    large_fleet: DeployedFleet, work_ms: int, first_end: str
+) -> None:
+    """Guards against review/6 and review/7: entries that nobody told of a job."""
+    fleet, job = large_fleet, make_burst_job(TASKS, work_ms)
+    with ThreadPoolExecutor(8) as pool:
+        if first_end == "completed":
+            submit_burst_job(fleet.entry_address(0), JOB_ID, job)
+        else:
+            # The caller's connection breaks in mid-run.
+            with pytest.raises(TimeoutError):
+                submit_burst_job(fleet.entry_address(0), JOB_ID, job, work_ms / 2_000)
+        time.sleep(RESUBMIT_DELAY_S)
+        answers = []
+        for index in range(1, 7):
+            address = fleet.entry_address(index)
+            answers.append(pool.submit(submit_burst_job, address, JOB_ID, job))
+            time.sleep(0.05)
+        assert [answer.result() for answer in answers] == [COMPLETED] * 6
+    runs = collect_runs(fleet)
+    for index in range(TASKS):
+        task_runs = [run for run in runs if run.task == f"{JOB_ID}.0.0.{index}"]
+        assert list(overlapping_runs(task_runs)) == []
