Soak with several entries in a data centre and with cancellations

Callers now cancel a share of their jobs at any entry (`--cancels`), and runs that go on longer after the acknowledgement than the platform allows are broken promises.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -14,8 +14,10 @@
 and kills others meanwhile; ``combined`` has all these. Callers that give up early
 (``--impatience``) submit their job again to another entry. Some answers are lost, so
 that their caller submits the job again (``--lost-answers``), and copies of requests
-arrive seconds after the answer, at any entry (``--copies``). ``--keep-logs`` keeps the
-logs of a failed seed.
+arrive seconds after the answer, at any entry (``--copies``). Some jobs are cancelled at
+any entry while they run or wait (``--cancels``). With more than three entries
+(``--entries``) some are in one data centre, and an agent is linked to one of them.
+``--keep-logs`` keeps the logs of a failed seed.
 """
 
 from __future__ import annotations
@@ -46,7 +48,17 @@
 from sardineferry.messages.burst import ENDED_LOST
 from sardineferry.messages.burst import ENDED_REFUSED
 
-__all__ = ["JobRecord", "SoakPlan", "collect_runs", "overlapping_runs", "run_soak"]
+__all__ = [
+    "CancelRecord",
+    "JobRecord",
+    "SoakPlan",
+    "WorkerRun",
+    "collect_runs",
+    "find_broken_promises",
+    "find_unasked_runs",
+    "overlapping_runs",
+    "run_soak",
+]
 
 # Set by the platform: how long a caller waits before it submits a job again, and
 # how soon after the last fault entries have to serve again.
@@ -54,6 +66,10 @@
 MAX_RECOVERY_S = 12.0
 # Copies of a request arrive seconds after its answer.
 COPY_DELAY_S = (1.0, 4.0)
+# Time after which a caller cancels its job, and how long after the acknowledgement a
+# task may run. The platform sets that limit.
+CANCEL_DELAY_S = (0.02, 0.6)
+CANCEL_LIMIT_MS = 3_000 + 50
 # Time after which a caller gives up early.
 PATIENCE_S = (0.2, 1.0)
 # Processor time of short tasks, and of those that may outlast the wait of a caller
@@ -67,6 +83,8 @@
 MAX_SUBMISSIONS = 6
 HTTP_OK = 200
 REFUSED_STATUSES = (429, 503)
+# These acknowledge a cancellation.
+CANCELLED_STATUSES = (200, 410)
 LOST_OUTCOMES = (ENDED_LOST, ENDED_REFUSED)
 
 
@@ -83,6 +101,13 @@
     answered_ms: int
 
 
+class CancelRecord(NamedTuple):
+    """An acknowledged cancellation, in time of the machine's steady clock."""
+
+    job_id: str
+    acknowledged_ms: int
+
+
 class WorkerRun(NamedTuple):
     """A run as its worker recorded it, in times of the machine's steady clock.
 
@@ -126,6 +151,9 @@
         self.lost_answers = plan.lost_answers
         self.copied = plan.copies
         self.copies: list[LateCopy] = []
+        self.cancel_random = random.Random(f"{plan.seed} cancels {number}")
+        self.cancelled = plan.cancels
+        self.cancellations: list[Cancellation] = []
 
     def run(self) -> None:
         """Submit jobs until stopped, then wait for the copies."""
@@ -135,6 +163,9 @@
             copy.join()
             self.records.extend(copy.records)
             self.log.extend(copy.log)
+        for cancellation in self.cancellations:
+            cancellation.join()
+            self.log.extend(cancellation.log)
 
     def submit_job(self, job_id: str) -> None:
         """Submit a job until it is answered, and record the statuses."""
@@ -150,6 +181,7 @@
             if statuses:
                 time.sleep(RESUBMIT_DELAY_S)
             sent_s = time.time()
+            self.draw_cancellation(job_id)
             status, state = self.send_job(job_id, job)
             if status == HTTP_OK:
                 self.draw_copy(job_id, tasks, job)
@@ -175,6 +207,16 @@
         self.copies.append(copy)
         copy.start()
 
+    def draw_cancellation(self, job_id: str) -> None:
+        """Cancel some jobs while they run or wait."""
+        if self.cancel_random.random() >= self.cancelled:
+            return
+        address = self.fleet.entry_address(self.cancel_random.randrange(self.entries))
+        delay_s = self.cancel_random.uniform(*CANCEL_DELAY_S)
+        cancellation = Cancellation(address, delay_s, job_id)
+        self.cancellations.append(cancellation)
+        cancellation.start()
+
     def draw_loss(self, status: int) -> int:
         """Return the status of an answer, which some callers never read."""
         if self.copy_random.random() >= self.lost_answers:
@@ -283,6 +325,38 @@
             )
 
 
+class Cancellation(threading.Thread):
+    """Cancels a job once, some time after its submission."""
+
+    def __init__(self, address: str, delay_s: float, job_id: str) -> None:
+        """Set at which entry the job is cancelled, and when."""
+        super().__init__(daemon=True)
+        self.address = address
+        self.delay_s = delay_s
+        self.job_id = job_id
+        self.records: list[CancelRecord] = []
+        self.log: list[str] = []
+
+    def run(self) -> None:
+        """Cancel the job after the delay; record when it was acknowledged."""
+        time.sleep(self.delay_s)
+        sent_s = time.time()
+        path, headers = PATH_PREFIX + self.job_id, {"Host": HOST_NAME}
+        try:
+            status, _ = call_json(
+                self.address, "DELETE", path, None, HUNG_TIMEOUT_S, headers
+            )
+        except (OSError, http.client.HTTPException):
+            status = NO_ANSWER
+        self.log.append(
+            f"{sent_s:.3f}-{time.time():.3f} {self.job_id} cancelled at "
+            f"{self.address}: {status}"
+        )
+        if status in CANCELLED_STATUSES:
+            acknowledged_ms = time.monotonic_ns() // 1_000_000
+            self.records.append(CancelRecord(self.job_id, acknowledged_ms))
+
+
 def collect_runs(fleet: DeployedFleet) -> list[WorkerRun]:
     """Return all runs that worker stand-ins have recorded."""
     return [
@@ -327,6 +401,22 @@
     return broken_promises
 
 
+def find_unasked_runs(
+    cancelled: list[CancelRecord], runs: list[WorkerRun]
+) -> list[str]:
+    """Return a description of each run long after its job's cancellation."""
+    acknowledged_ms: dict[str, int] = {}
+    for record in cancelled:
+        first_ms = acknowledged_ms.get(record.job_id, record.acknowledged_ms)
+        acknowledged_ms[record.job_id] = min(first_ms, record.acknowledged_ms)
+    return [
+        f"{run}: cancelled {run.ended_ms - cancelled_ms} ms before its end"
+        for run in runs
+        if (cancelled_ms := acknowledged_ms.get(run.task.partition(".")[0]))
+        and run.ended_ms > cancelled_ms + CANCEL_LIMIT_MS
+    ]
+
+
 def overlapping_runs(runs: list[WorkerRun]) -> list[tuple[WorkerRun, WorkerRun]]:
     """Return the pairs of runs that overlapped in time."""
     ordered = sorted(runs, key=lambda run: run.started_ms)
@@ -367,7 +457,15 @@
             for caller in callers:
                 caller.join(2 * HUNG_TIMEOUT_S + COPY_DELAY_S[1])
             records = [record for caller in callers for record in caller.records]
-            broken_promises += find_broken_promises(records, collect_runs(fleet))
+            cancelled = [
+                record
+                for caller in callers
+                for cancellation in caller.cancellations
+                for record in cancellation.records
+            ]
+            runs = collect_runs(fleet)
+            broken_promises += find_broken_promises(records, runs)
+            broken_promises += find_unasked_runs(cancelled, runs)
             broken_promises += fleet.breaches()
             if "Event " in fleet.log_tails() and " failed." in fleet.log_tails():
                 broken_promises.append(
@@ -384,7 +482,7 @@
                     callers,
                     [str(plan), clock_offset, started]
                     + [*broken_promises, *injector.injected]
-                    + [str(run) for run in collect_runs(fleet)],
+                    + [str(run) for run in runs],
                 )
     finally:
         for proxy in [*fleet.proxies(), *fleet.entry_proxies()]:
@@ -459,6 +557,7 @@
     parser.add_argument("--impatience", type=float, default=0.0)
     parser.add_argument("--copies", type=float, default=SoakPlan(0).copies)
     parser.add_argument("--lost-answers", type=float, default=SoakPlan(0).lost_answers)
+    parser.add_argument("--cancels", type=float, default=SoakPlan(0).cancels)
     parser.add_argument("--keep-logs", type=Path)
     arguments = parser.parse_args()
     failed_seeds = 0
@@ -475,6 +574,7 @@
                 arguments.impatience,
                 arguments.copies,
                 arguments.lost_answers,
+                arguments.cancels,
             ),
             arguments.keep_logs,
         )
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -131,6 +131,8 @@
     # share of answers that are lost, so that their caller submits the job again.
     copies: float = 0.3
     lost_answers: float = 0.1
+    # The share of submissions that are cancelled meanwhile, at any entry.
+    cancels: float = 0.0
 
 
 class SoakFleet(DeployedFleet):
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import pytest
+from bench.soak import CancelRecord
 from bench.soak import JobRecord
 from bench.soak import SoakPlan
 from bench.soak import WorkerRun
 from bench.soak import find_broken_promises
+from bench.soak import find_unasked_runs
 from bench.soak import run_soak
 
 JOB = "00000000000000a1"
@@ -50,6 +52,17 @@
     assert len(find_broken_promises(records, runs)) == count
 
 
+@pytest.mark.parametrize(
+    ("acknowledged_ms", "count"),
+    [((200,), 0), ((), 0), ((-2_850,), 0), ((-2_851,), 1), ((200, -2_851), 1)],
+)
+def test_runs_long_after_a_cancellation_are_found(
+    acknowledged_ms: tuple[int, ...], count: int
+) -> None:
+    cancelled = [CancelRecord(JOB, at_ms) for at_ms in acknowledged_ms]
+    assert len(find_unasked_runs(cancelled, [DONE])) == count
+
+
 @pytest.mark.parametrize(
     "plan",
     [
@@ -89,6 +102,23 @@
             ),
             id="late-copies",
         ),
+        # Several entries in a data centre, of which an agent is linked to one: the
+        # others ran copies beside its runs, and jobs that were cancelled elsewhere.
+        pytest.param(
+            SoakPlan(
+                1,
+                entries=7,
+                workers=5,
+                callers=8,
+                seconds=4.0,
+                faults="resets",
+                long_tasks=0.6,
+                copies=1.0,
+                lost_answers=0.5,
+                cancels=0.3,
+            ),
+            id="unlinked-entries",
+        ),
     ],
 )
 def test_programs_keep_their_promises_under_faults(plan: SoakPlan) -> None:
