Pass on the cancellation of a job that has ended here and runs elsewhere

A job with an outcome here that another entry runs again was answered 200, and nobody was told.

Measured: test_cancelling_a_job_that_has_ended_here_stops_its_runs_elsewhere fails before, and passes now.

--- a/src/sardineferry/decision/burst/entry_cancellations.py
+++ b/src/sardineferry/decision/burst/entry_cancellations.py
@@ -42,9 +42,10 @@
     job_id = event.path.rpartition("/")[2]
     kind = ReplyKind.CANCELLED
     if found is ReplyKind.NO_JOB:
-        if job_id not in state.other_runs:
+        runs_elsewhere = job_id in state.other_runs
+        if not runs_elsewhere:
             kind = found
-        if remember_cancellation(state, job_id, now_ms):
+        if remember_cancellation(state, job_id, now_ms) or runs_elsewhere:
             notify_cancellation(state, job_id, now_ms)
     elif isinstance(found, ReplyKind):
         kind = found
--- a/tests/decision/burst/test_late_copies.py
+++ b/tests/decision/burst/test_late_copies.py
@@ -12,6 +12,9 @@
 from sardineferry.decision.burst.requests import ReplyKind
 from sardineferry.decision.common_events import Drain
 from sardineferry.decision.common_events import LinkDown
+from sardineferry.messages.burst import JobCancelled
+from sardineferry.messages.burst import JobTasks
+from sardineferry.messages.burst import OtherRuns
 from sardineferry.messages.burst import RunEnded
 from tests.decision.burst.drive import NEED
 from tests.decision.burst.drive import TOTAL
@@ -19,6 +22,7 @@
 from tests.decision.burst.drive import job
 from tests.decision.burst.drive import ref
 from tests.decision.burst.drive import route
+from tests.decision.burst.drive import sent
 from tests.decision.burst.drive import submit
 from tests.decision.burst.joined import WARM_UP_MS
 from tests.decision.burst.joined import JoinedCores
@@ -434,6 +438,19 @@
     assert joined.replies_to(3) == [ReplyKind.CANCELLED]
 
 
+def test_cancelling_a_job_that_has_ended_here_stops_its_runs_elsewhere() -> None:
+    """Guards against a 200 for a cancellation that nobody else is told of."""
+    entry = EntryDriver()
+    end_job(entry, "completed")
+    submitted = submit(2, job())
+    running = JobTasks(submitted.job.job_id, "f", (0,))
+    entry.handle(OtherRuns((running,)), "a")
+    entry.effects.clear()
+    entry.handle(CancelJob(3, submitted.host, submitted.path))
+    assert replies_to(entry, 3) == [ReplyKind.CANCELLED]
+    assert sent(entry.effects, JobCancelled)
+
+
 def test_copies_that_arrive_at_two_entries_at_once_never_meet() -> None:
     """Listed as open: neither entry can have heard of the other's run."""
     joined = make_fleet("ef")
