Name relayed cancellations to entries that link later

Cause: an agent names a cancelled job to new links for 10 s if an entry told it with `JobCancelled`. In another data centre agents hear of it in a relayed message only, of which they keep what came since the last complete list.

--- a/src/sardineferry/decision/burst/agent_links.py
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -227,9 +227,8 @@
 
     An entry repeats its cancellations on a new link; one is passed on once.
     """
-    if any(job_id == event.job_id for _, job_id in state.cancelled_jobs):
+    if not remember_cancellation(state, event.job_id, now_ms):
         return
-    state.cancelled_jobs.append((now_ms, event.job_id))
     state.effects.extend(
         Send(view.link, event)
         for view in state.entry_views.values()
@@ -237,6 +236,14 @@
     )
 
 
+def remember_cancellation(state: BurstAgentState, job_id: str, now_ms: int) -> bool:
+    """Keep a cancelled job for entries that link soon; return whether it is news."""
+    if any(known_id == job_id for _, known_id in state.cancelled_jobs):
+        return False
+    state.cancelled_jobs.append((now_ms, job_id))
+    return True
+
+
 @handle_agent_event.register(RelayedRuns)
 def on_relayed_runs(
     event: RelayedRuns, state: BurstAgentState, sender: str, now_ms: int
@@ -249,6 +256,8 @@
     if event.is_complete:
         kept.clear()
     kept.append((now_ms, event))
+    for job_id in event.cancelled:
+        remember_cancellation(state, job_id, now_ms)
     state.counters["relays_passed_on"] += 1
     state.effects.extend(
         Send(view.link, event)
--- a/tests/decision/burst/test_relayed_runs.py
+++ b/tests/decision/burst/test_relayed_runs.py
@@ -431,3 +431,20 @@
     joined.advance_time(2 * RUN_MS)
     assert joined.simultaneous_runs() == []
     assert joined.replies_to(2) == [ReplyKind.COMPLETED]
+
+
+@pytest.mark.parametrize("place", list("fghijk"))
+def test_entry_that_starts_later_is_told_of_cancelled_jobs(place: str) -> None:
+    """Guards against a copy at an entry that was down when its job was cancelled."""
+    joined = make_fleet()
+    submitted = submit(1, JOB)
+    joined.handle("e", submitted)
+    joined.advance_time(RELAYED_MS)
+    joined.kill(place)
+    joined.handle("e", CancelJob(2, submitted.host, submitted.path))
+    joined.advance_time(LATE_COPY_MS)
+    joined.restart_entry(place)
+    joined.handle(place, ConfigurationRead(b"1"))
+    joined.advance_time(10)
+    joined.handle(place, submit(3, JOB))
+    assert joined.replies_to(3) == [ReplyKind.CANCELLED]
