Choose different ports for the two halves of a soak's fleet

Cause: SoakFleet asks for free ports a second time, after the ports of its base class were released, and may get one of these again.

Measured: test_ports_that_are_in_use_are_not_found_again; the function had no such parameter before.

--- a/bench/deployed_fleet.py
+++ b/bench/deployed_fleet.py
@@ -93,7 +93,7 @@
             f"{network}.{host_number + 1}" for host_number in range(entries + workers)
         ]
         self.entry_ips, self.agent_ips = ips[:entries], ips[entries:]
-        ports = find_free_ports(7)
+        self.ports = ports = find_free_ports(7)
         self.store_address = f"127.0.0.1:{ports[0]}"
         self.front_port, self.ready_port, self.control_port = (
             ports[1],
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
 import json
 import os
@@ -16,11 +17,15 @@
 import tempfile
 import time
 from pathlib import Path
+from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
 
 from sardineferry.loop import split_address
 
+if TYPE_CHECKING:
+    from collections.abc import Container
+
 __all__ = ["Fleet", "FleetError", "TargetPlan", "call_json"]
 
 READY_TIMEOUT_S = 30.0
@@ -55,16 +60,17 @@
         }
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return loopback ports that are free at the moment."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for bound_socket in sockets:
+def find_free_ports(count: int, excluded: Container[int] = ()) -> list[int]:
+    """Return loopback ports that are free at the moment, and not among ``excluded``."""
+    ports: list[int] = []
+    with contextlib.ExitStack() as sockets:
+        while len(ports) < count:
+            bound_socket = sockets.enter_context(socket.socket())
             bound_socket.bind((HOST, 0))
-        return [bound_socket.getsockname()[1] for bound_socket in sockets]
-    finally:
-        for bound_socket in sockets:
-            bound_socket.close()
+            port = bound_socket.getsockname()[1]
+            if port not in excluded:
+                ports.append(port)
+    return ports
 
 
 def call_json(
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -146,7 +146,7 @@
         """Choose addresses, and start the proxies."""
         data_centres = 3 if plan.entries > 2 else 2
         super().__init__(plan.entries, plan.workers, 8_000, data_centres)
-        ports = find_free_ports(4)
+        ports = find_free_ports(4, excluded=self.ports)
         self.worker_listen_port, proxy_port = ports[:2]
         self.restarts = 0
         self.link_port_for_agents, self.front_port_for_callers = ports[2:]
--- a/tests/bench/test_fleet.py
+++ b/tests/bench/test_fleet.py
@@ -8,6 +8,7 @@
 from bench.fleet import Fleet
 from bench.fleet import TargetPlan
 from bench.fleet import call_json
+from bench.fleet import find_free_ports
 
 START_DELAY_S = 1.5
 
@@ -26,6 +27,25 @@
     assert status == 200
 
 
+def test_ports_that_are_in_use_are_not_found_again() -> None:
+    """Guards against a soak whose programs could not start: one port had two uses."""
+
+    class FirstOffered:
+        """Contains the port that is asked about first."""
+
+        offered: list[int] = []
+
+        def __contains__(self, port: object) -> bool:
+            assert isinstance(port, int)
+            self.offered.append(port)
+            return len(self.offered) == 1
+
+    excluded = FirstOffered()
+    found = find_free_ports(2, excluded)
+    assert found == excluded.offered[1:]
+    assert len({*excluded.offered}) == 3
+
+
 def test_address_without_a_listener_is_reported(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
