--- a/tests/decision/burst/test_relayed_runs.py
+++ b/tests/decision/burst/test_relayed_runs.py
@@ -68,7 +68,7 @@
     return [name for name in joined.entries if (agent, name) not in joined.links]
 
 
-def informant(joined: JoinedCores, agent: str, data_centre: str) -> str:
+def informed_entry(joined: JoinedCores, agent: str, data_centre: str) -> str:
     """Return the entry of another data centre that an agent is linked to."""
     (name,) = [
         name
@@ -136,7 +136,7 @@
     """Guards against telling of other entries' runs in another data centre alone."""
     # No worker of its own data centre has room.
     joined = make_fleet(without_room="bc")
-    second = informant(joined, "a", "dc-2")
+    second = informed_entry(joined, "a", "dc-2")
     others = [name for name in "fgh" if name != second]
     joined.handle(second, submit(2, JOB))
     joined.advance_time(RELAYED_MS)
@@ -186,7 +186,12 @@
 
 @pytest.mark.parametrize(
     "trouble",
-    ["relay killed", "relay cut off unnoticed", "informant killed", "owner killed"],
+    [
+        "relay killed",
+        "relay cut off unnoticed",
+        "informed entry killed",
+        "owner killed",
+    ],
 )
 def test_copy_meets_no_run_although_what_relayed_it_is_lost(trouble: str) -> None:
     """Guards against forgetting runs that go on with a process that told of them."""
@@ -198,7 +203,7 @@
     data_centre = next(
         dc for dc in ("dc-2", "dc-3") if dc != joined.data_centre_of(agent)
     )
-    told = informant(joined, agent, data_centre)
+    told = informed_entry(joined, agent, data_centre)
     core = joined.cores[told]
     assert isinstance(core, BurstEntryCore)
     relay = core.state.run_relay.link
@@ -208,7 +213,7 @@
     elif trouble == "relay cut off unnoticed":
         for link in [link for link in joined.links if link[0] == relay]:
             joined.break_link(*link)
-    elif trouble == "informant killed":
+    elif trouble == "informed entry killed":
         joined.kill(told)
     else:
         joined.kill(agent)
@@ -221,10 +226,10 @@
 
 
 @pytest.mark.parametrize("data_centre", ["dc-2", "dc-3"])
-def test_data_centre_soon_has_another_informant(data_centre: str) -> None:
+def test_data_centre_soon_has_another_informed_entry(data_centre: str) -> None:
     """Guards against runs that nobody is told of while an entry starts again."""
     joined = make_fleet()
-    told = informant(joined, "a", data_centre)
+    told = informed_entry(joined, "a", data_centre)
     joined.kill(told)
     joined.advance_time(250)
     joined.handle("e", submit(1, JOB))
@@ -265,7 +270,7 @@
     """Guards against holding a job for longer than its runs can last."""
     joined = make_fleet(run_ms=4 * RUN_MS, without_room="bc")
     submitted = job(tasks=2, estimate_ms=4 * RUN_MS)
-    first = informant(joined, "a", "dc-2")
+    first = informed_entry(joined, "a", "dc-2")
     joined.handle(first, submit(1, submitted))
     joined.advance_time(REFRESH_MS)
     ordered = joined.runs()
