Relay news again that may be lost with its link

Cause: a complete list repeats the runs that go on. Tasks that are done, lost runs and cancellations are relayed once, and were lost if the link to the relaying agent broke.

Change: when that link is lost or replaced, what was sent in the last 2 s is sent again over the next agent. Repeated news changes nothing at an entry that has it.

--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -89,6 +89,7 @@
         view.earlier_reports_expire_ms = now_ms + timing.RUNS_ENDED_AFTER_MS
     view.incarnation = event.incarnation
     view.linked = True
+    state.run_relay.lose_link(sender, now_ms)
     if state.first_link_ms is None:
         state.first_link_ms = now_ms
     view.last_heard_ms = now_ms
@@ -113,6 +114,7 @@
 ) -> None:
     """Mark the agent as not linked, but keep its runs: it may reconnect in time."""
     state.effects.extend(state.config_relay.drop_link(event.name, now_ms))
+    state.run_relay.lose_link(event.name, now_ms)
     view = state.agents.get(event.name)
     if view is not None:
         view.linked = False
--- a/src/sardineferry/decision/burst/run_relay.py
+++ b/src/sardineferry/decision/burst/run_relay.py
@@ -30,6 +30,9 @@
 # Time between two complete lists. They replace what was lost with a relay, and show
 # that the entry is alive.
 REFRESH_INTERVAL_MS = 500
+# News that was sent within this time is sent again if its link is lost. That is noticed
+# sooner.
+NEWS_RESEND_WINDOW_MS = 2_000
 # Bounds the memory while no agent of the data centre is linked.
 MAX_WAITING_NEWS = 1_024
 
@@ -54,6 +57,14 @@
     sent_ms: int
 
 
+class RelayedNews(NamedTuple):
+    """What is told once: tasks that are done, jobs with lost runs, cancelled jobs."""
+
+    done: tuple[JobTasks, ...]
+    lost: tuple[str, ...]
+    cancelled: tuple[str, ...]
+
+
 class RunRelay:
     """What an entry has relayed and has yet to relay."""
 
@@ -73,6 +84,8 @@
         self.ends_due_ms: int | None = None
         self.last_sent_ms = 0
         self.refresh_due_ms = 0
+        # The latest news with the times when it was sent: no complete list repeats it.
+        self.sent_news: deque[tuple[int, RelayedNews]] = deque(maxlen=MAX_WAITING_NEWS)
         # What other entries have relayed to this one.
         self.heard: dict[RelayingEntry, HeardRelay] = {}
 
@@ -110,6 +123,19 @@
             self.link = link
             self.refresh_due_ms = 0
 
+    def lose_link(self, link: str, now_ms: int) -> None:
+        """Send again what may have been lost with the link to this agent."""
+        if link != self.link:
+            return
+        self.link = ""
+        for sent_ms, news in self.sent_news:
+            if now_ms - sent_ms <= NEWS_RESEND_WINDOW_MS:
+                self.note_done(news.done, now_ms)
+                self.note_lost(news.lost, now_ms)
+                self.cancelled.extend(news.cancelled)
+        self.sent_news.clear()
+        self.is_changed = True
+
     def is_due(self, now_ms: int) -> bool:
         """Return whether a message or a complete list is due."""
         are_ends_due = self.ends_due_ms is not None and now_ms >= self.ends_due_ms
@@ -134,7 +160,7 @@
             self.refresh_due_ms = now_ms + REFRESH_INTERVAL_MS
         began, ended = compare(self.sent, running)
         lost = tuple(dict.fromkeys(self.lost))
-        news = (tuple(self.done), lost, tuple(self.cancelled))
+        news = RelayedNews(tuple(self.done), lost, tuple(self.cancelled))
         has_news = began or ended or any(news) or (is_complete and running)
         self.is_changed = False
         self.ends_due_ms = None
@@ -143,6 +169,8 @@
         self.cancelled.clear()
         if not has_news:
             return None
+        if any(news):
+            self.sent_news.append((now_ms, news))
         self.sent = running
         self.sent_job_ids = {job.job_id for job in running}
         self.sequence += 1
--- a/tests/decision/burst/test_combined_faults.py
+++ b/tests/decision/burst/test_combined_faults.py
@@ -56,6 +56,8 @@
         ("late copies", 2),
         ("late copies, entries killed", 5),
         ("late copies, links reset", 3),
+        # A relayed message about done tasks is lost with its link.
+        ("late copies, links reset", 33),
         ("late copies, callers return", 1),
         ("late copies, all", 2),
     ],
--- a/tests/decision/burst/test_run_relay.py
+++ b/tests/decision/burst/test_run_relay.py
@@ -85,6 +85,32 @@
     assert relay.is_due(NOW_MS + 10)
 
 
+@pytest.mark.parametrize(
+    ("link", "after_ms", "is_repeated"),
+    [("b", 100, True), ("b", 2_001, False), ("another", 100, False)],
+)
+def test_news_that_may_be_lost_with_its_link_is_sent_again(
+    relay: RunRelay, link: str, after_ms: int, is_repeated: bool
+) -> None:
+    """Guards against done tasks that nobody hears of, as no list repeats them."""
+    done = JobTasks("short", "f", (0,))
+    relay.note_done([done], NOW_MS)
+    relay.note_lost(["broken off"], NOW_MS)
+    relay.note_cancelled("unwanted")
+    first = relay.take_message(ENTRY, RUNNING, NOW_MS + 10)
+    assert first == RelayedRuns(
+        "e", "i", 2, done=(done,), lost=("broken off",), cancelled=("unwanted",)
+    )
+    lost_ms = NOW_MS + 10 + after_ms
+    relay.lose_link(link, lost_ms)
+    relay.use_link("c" if link == "b" else "b")
+    repeated = relay.take_message(ENTRY, {}, lost_ms)
+    assert repeated is not None
+    assert (repeated.done, repeated.lost, repeated.cancelled) == (
+        (first.done, first.lost, first.cancelled) if is_repeated else ((), (), ())
+    )
+
+
 def passed_on(agent: AgentDriver) -> list[tuple[str, RelayedRuns]]:
     return [
         (effect.to, effect.message)
