Pass on every cancellation of a job that is not active here

What callers saw: a cancellation came just after its job was completed, and was answered 410.

Cause: the cancellation of a job that had an outcome here was passed on only if another entry ran it, so that the agents could not name it to the restarted entry.

Change: it is always passed on. An outcome that is known stays the answer to copies.

--- a/src/sardineferry/decision/burst/entry_cancellations.py
+++ b/src/sardineferry/decision/burst/entry_cancellations.py
@@ -36,17 +36,16 @@
     """Cancel a job; answer its submitters and the caller that cancels.
 
     A job that another entry runs is cancelled there, and so is one that is not known
-    here, as it may wait at another entry.
+    here, as it may wait at another entry, or has ended, as a copy may come there.
     """
     found = find_job(state, event.host, event.path)
     job_id = event.path.rpartition("/")[2]
     kind = ReplyKind.CANCELLED
     if found is ReplyKind.NO_JOB:
-        runs_elsewhere = job_id in state.other_runs
-        if not runs_elsewhere:
+        if job_id not in state.other_runs:
             kind = found
-        if remember_cancellation(state, job_id, now_ms) or runs_elsewhere:
-            notify_cancellation(state, job_id, now_ms)
+        remember_cancellation(state, job_id, now_ms)
+        notify_cancellation(state, job_id, now_ms)
     elif isinstance(found, ReplyKind):
         kind = found
     else:
--- a/tests/decision/burst/test_late_copies.py
+++ b/tests/decision/burst/test_late_copies.py
@@ -438,17 +438,26 @@
     assert joined.replies_to(3) == [ReplyKind.CANCELLED]
 
 
-def test_cancelling_a_job_that_has_ended_here_stops_its_runs_elsewhere() -> None:
-    """Guards against a 200 for a cancellation that nobody else is told of."""
+@pytest.mark.parametrize(
+    ("runs_elsewhere", "reply"),
+    [(True, ReplyKind.CANCELLED), (False, ReplyKind.NO_JOB)],
+)
+def test_cancelling_a_job_that_has_ended_here_is_passed_on(
+    runs_elsewhere: bool, reply: ReplyKind
+) -> None:
+    """Guards against copies that run at entries which don't know that it has ended."""
     entry = EntryDriver()
     end_job(entry, "completed")
     submitted = submit(2, job())
-    running = JobTasks(submitted.job.job_id, "f", (0,))
-    entry.handle(OtherRuns((running,)), "a")
+    if runs_elsewhere:
+        running = JobTasks(submitted.job.job_id, "f", (0,))
+        entry.handle(OtherRuns((running,)), "a")
     entry.effects.clear()
     entry.handle(CancelJob(3, submitted.host, submitted.path))
-    assert replies_to(entry, 3) == [ReplyKind.CANCELLED]
+    assert replies_to(entry, 3) == [reply]
     assert sent(entry.effects, JobCancelled)
+    entry.handle(submit(4, job()))
+    assert replies_to(entry, 4) == [ReplyKind.COMPLETED]
 
 
 def test_copies_that_arrive_at_two_entries_at_once_never_meet() -> None:
