Relay runs of first requests late and together

Cause: every run that lasts was relayed within 10 ms. Few of these can be met by a copy: one of a first request comes 1,300 ms later at the earliest.

Change: runs and ends wait for up to 200 ms. Runs of jobs that are known to have run before go within 10 ms, also all in the first 4 s of an entry, and so do cancellations and reports on new links.

--- a/src/sardineferry/decision/burst/entry.py
+++ b/src/sardineferry/decision/burst/entry.py
@@ -130,9 +130,7 @@
         state = self.state
         busy = state.jobs or state.early_jobs or state.drain_started_ms is not None
         interval_ms = BUSY_TICK_INTERVAL_MS if busy else IDLE_TICK_INTERVAL_MS
-        relay_due_ms = state.run_relay.next_due_ms(self.now_ms)
-        if relay_due_ms is None:
-            return interval_ms
+        relay_due_ms = state.run_relay.next_due_ms()
         return max(1, min(interval_ms, relay_due_ms - self.now_ms))
 
     def take_effects(self) -> list[BurstEffect]:
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -340,7 +340,7 @@
     """Let other entries of this data centre hear of the end of a run elsewhere."""
     job_id = placed.job.job.job_id
     if event.how == ENDED_REFUSED:
-        state.run_relay.note_change()
+        state.run_relay.note_change(now_ms, is_urgent=False)
     elif event.how == ENDED_DONE:
         item = JobTasks(job_id, state.name, (placed.task.index,))
         state.run_relay.note_done([item], now_ms)
--- a/src/sardineferry/decision/burst/entry_cancellations.py
+++ b/src/sardineferry/decision/burst/entry_cancellations.py
@@ -89,7 +89,7 @@
     view = state.record_contact(sender, now_ms)
     is_news = apply_cancellation(state, event.job_id, now_ms)
     if is_news and view is not None and state.is_remote(view):
-        state.run_relay.note_cancelled(event.job_id)
+        state.run_relay.note_cancelled(event.job_id, now_ms)
 
 
 def apply_cancellation(state: BurstEntryState, job_id: str, now_ms: int) -> bool:
--- a/src/sardineferry/decision/burst/entry_other_runs.py
+++ b/src/sardineferry/decision/burst/entry_other_runs.py
@@ -57,6 +57,9 @@
     if view is None:
         return
     source = RunSource(view.name, view.incarnation)
+    is_urgent = event.is_complete or any(
+        state.may_be_copy(item.job_id, now_ms) for item in event.running
+    )
     named_before = state.other_runs.forget_source(source) if event.is_complete else []
     for item in event.running:
         add_other_runs(state, source, item, now_ms)
@@ -73,7 +76,7 @@
         state.run_relay.note_done(event.done, now_ms)
         state.run_relay.note_lost((item.job_id for item in event.lost), now_ms)
         if event.running or event.is_complete:
-            state.run_relay.note_change()
+            state.run_relay.note_change(now_ms, is_urgent=is_urgent)
 
 
 def add_other_runs(
@@ -170,7 +173,7 @@
     for ref in refs:
         job_id, index = parse_task(ref.task)
         add_other_runs(state, source, JobTasks(job_id, state.name, (index,)), now_ms)
-    state.run_relay.note_change()
+    state.run_relay.note_change(now_ms, is_urgent=True)
 
 
 def end_unknown_run(
@@ -185,7 +188,7 @@
     if ended.how == ENDED_DONE:
         mark_done(state, JobTasks(job_id, state.name, (index,)), now_ms)
     release_jobs(state, [job_id], now_ms)
-    state.run_relay.note_change()
+    state.run_relay.note_change(now_ms, is_urgent=True)
 
 
 def forget_lost_runs(
@@ -196,7 +199,7 @@
         return
     for source in state.other_runs.incarnations(view.name):
         release_jobs(state, state.other_runs.forget_source(source), now_ms)
-        state.run_relay.note_change()
+        state.run_relay.note_change(now_ms, is_urgent=True)
 
 
 def forget_earlier_reports(
@@ -207,4 +210,4 @@
     for source in state.other_runs.incarnations(view.name):
         if source.incarnation != view.incarnation:
             release_jobs(state, state.other_runs.forget_source(source), now_ms)
-            state.run_relay.note_change()
+            state.run_relay.note_change(now_ms, is_urgent=True)
--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -254,7 +254,7 @@
             job, task, order, now_ms, is_reported=is_reported
         )
     if is_reported and state.is_remote(view):
-        state.run_relay.note_change()
+        state.run_relay.note_change(now_ms, is_urgent=is_repeat)
     view.reserve(order, step.need.times(len(tasks)))
     view.health.record_sent()
     view.last_order_sent_ms = now_ms
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -541,7 +541,7 @@
         is_uninformed = (
             self.started_ms is None or now_ms - self.started_ms < UNINFORMED_MS
         )
-        return is_uninformed or self.other_runs.is_known(job_id)
+        return is_uninformed or self.other_runs.has_ended_runs(job_id)
 
     def ready(self) -> bool:
         """Return whether the load balancer should send callers to this entry."""
--- a/src/sardineferry/decision/burst/other_runs.py
+++ b/src/sardineferry/decision/burst/other_runs.py
@@ -77,9 +77,9 @@
         """Return whether another entry runs or has run tasks of a job."""
         return job_id in self.sources_by_job or job_id in self.done
 
-    def is_known(self, job_id: str) -> bool:
-        """Return whether a submission of the job has been run, at any entry."""
-        return self.has_run(job_id) or job_id in self.lost
+    def has_ended_runs(self, job_id: str) -> bool:
+        """Return whether runs of a job are known to have ended, at any entry."""
+        return job_id in self.done or job_id in self.lost
 
     def add(self, source: RunSource, item: JobTasks) -> None:
         """Record that tasks of a job run at an agent."""
--- a/src/sardineferry/decision/burst/run_relay.py
+++ b/src/sardineferry/decision/burst/run_relay.py
@@ -24,15 +24,17 @@
 
 # Least time between two messages: many runs begin and end in that time.
 RELAY_INTERVAL_MS = 10
-# Ends of runs that were not relayed before are relayed at most this late. With the
-# delay of their report it is less than the time before a copy.
-END_DELAY_MS = 200
+# News that is not urgent is relayed at most this late. With the delay of its report it
+# is less than the time before a copy of a first request.
+NEWS_DELAY_MS = 200
 # Time between two complete lists. They replace what was lost with a relay, and show
 # that the entry is alive.
 REFRESH_INTERVAL_MS = 500
 # News that was sent within this time is sent again if its link is lost. That is noticed
 # sooner.
 NEWS_RESEND_WINDOW_MS = 2_000
+# Later than any time.
+NEVER_MS = 2**63
 # Bounds the memory while no agent of the data centre is linked.
 MAX_WAITING_NEWS = 1_024
 
@@ -74,14 +76,11 @@
         self.link = ""
         self.sequence = 0
         self.sent: RunSnapshot = {}
-        self.sent_job_ids: set[str] = set()
-        # Whether runs have begun or ended since the last message.
-        self.is_changed = False
         self.done: deque[JobTasks] = deque(maxlen=MAX_WAITING_NEWS)
         self.lost: deque[str] = deque(maxlen=MAX_WAITING_NEWS)
         self.cancelled: deque[str] = deque(maxlen=MAX_WAITING_NEWS)
-        # When the oldest of the ends is due; None if there are none.
-        self.ends_due_ms: int | None = None
+        # When the next message is due, apart from complete lists.
+        self.news_due_ms = NEVER_MS
         self.last_sent_ms = 0
         self.refresh_due_ms = 0
         # The latest news with the times when it was sent: no complete list repeats it.
@@ -89,33 +88,25 @@
         # What other entries have relayed to this one.
         self.heard: dict[RelayingEntry, HeardRelay] = {}
 
-    def note_change(self) -> None:
-        """Note that runs have begun or ended."""
-        self.is_changed = True
+    def note_change(self, now_ms: int, *, is_urgent: bool) -> None:
+        """Note that runs have begun or ended, urgently if copies may be about."""
+        due_ms = now_ms if is_urgent else now_ms + NEWS_DELAY_MS
+        self.news_due_ms = min(self.news_due_ms, due_ms)
 
     def note_done(self, items: Iterable[JobTasks], now_ms: int) -> None:
         """Note that tasks are done."""
-        for item in items:
-            self.done.append(item)
-            self.schedule_end(item.job_id, now_ms)
+        self.done.extend(items)
+        self.note_change(now_ms, is_urgent=False)
 
     def note_lost(self, job_ids: Iterable[str], now_ms: int) -> None:
         """Note that runs of jobs have ended without being done."""
-        for job_id in job_ids:
-            self.lost.append(job_id)
-            self.schedule_end(job_id, now_ms)
-
-    def schedule_end(self, job_id: str, now_ms: int) -> None:
-        """Let an end be relayed soon, or at once if the job's runs were relayed."""
-        if job_id in self.sent_job_ids:
-            self.is_changed = True
-        if self.ends_due_ms is None:
-            self.ends_due_ms = now_ms + END_DELAY_MS
-
-    def note_cancelled(self, job_id: str) -> None:
+        self.lost.extend(job_ids)
+        self.note_change(now_ms, is_urgent=False)
+
+    def note_cancelled(self, job_id: str, now_ms: int) -> None:
         """Note that a job was cancelled at an entry of another data centre."""
         self.cancelled.append(job_id)
-        self.is_changed = True
+        self.note_change(now_ms, is_urgent=True)
 
     def use_link(self, link: str) -> None:
         """Use this agent from now on; a new one gets a complete list first."""
@@ -134,22 +125,18 @@
                 self.note_lost(news.lost, now_ms)
                 self.cancelled.extend(news.cancelled)
         self.sent_news.clear()
-        self.is_changed = True
+        self.note_change(now_ms, is_urgent=True)
 
     def is_due(self, now_ms: int) -> bool:
         """Return whether a message or a complete list is due."""
-        are_ends_due = self.ends_due_ms is not None and now_ms >= self.ends_due_ms
-        return now_ms >= self.last_sent_ms + RELAY_INTERVAL_MS and (
-            self.is_changed or are_ends_due or now_ms >= self.refresh_due_ms
-        )
+        due_ms = min(self.news_due_ms, self.refresh_due_ms)
+        return now_ms >= max(due_ms, self.last_sent_ms + RELAY_INTERVAL_MS)
 
-    def next_due_ms(self, now_ms: int) -> int | None:
-        """Return when the next news is due; None if there is none."""
+    def next_due_ms(self) -> int:
+        """Return when the next message is due, apart from complete lists."""
         if not self.link:
-            return None
-        if self.is_changed:
-            return max(now_ms, self.last_sent_ms + RELAY_INTERVAL_MS)
-        return self.ends_due_ms
+            return NEVER_MS
+        return max(self.news_due_ms, self.last_sent_ms + RELAY_INTERVAL_MS)
 
     def take_message(
         self, entry: RelayingEntry, running: RunSnapshot, now_ms: int
@@ -162,8 +149,7 @@
         lost = tuple(dict.fromkeys(self.lost))
         news = RelayedNews(tuple(self.done), lost, tuple(self.cancelled))
         has_news = began or ended or any(news) or (is_complete and running)
-        self.is_changed = False
-        self.ends_due_ms = None
+        self.news_due_ms = NEVER_MS
         self.done.clear()
         self.lost.clear()
         self.cancelled.clear()
@@ -172,7 +158,6 @@
         if any(news):
             self.sent_news.append((now_ms, news))
         self.sent = running
-        self.sent_job_ids = {job.job_id for job in running}
         self.sequence += 1
         self.last_sent_ms = now_ms
         return RelayedRuns(
--- a/tests/decision/burst/test_relayed_runs.py
+++ b/tests/decision/burst/test_relayed_runs.py
@@ -10,6 +10,7 @@
 import pytest
 
 from sardineferry.decision.burst.entry import BurstEntryCore
+from sardineferry.decision.burst.entry_state import UNINFORMED_MS
 from sardineferry.decision.burst.requests import CallerLeft
 from sardineferry.decision.burst.requests import CancelJob
 from sardineferry.decision.burst.requests import ConfigurationRead
@@ -453,3 +454,32 @@
     joined.advance_time(10)
     joined.handle(place, submit(3, JOB))
     assert joined.replies_to(3) == [ReplyKind.CANCELLED]
+
+
+def test_first_requests_cost_few_relayed_messages() -> None:
+    """Guards against processor time for runs that no copy can meet yet."""
+    run_ms = 250
+    joined = make_fleet(run_ms)
+    joined.advance_time(UNINFORMED_MS)
+    cores = [joined.cores[entry] for entry in "fghijk"]
+    for number in range(10, 50):
+        joined.handle("e", submit(number, job(number, estimate_ms=run_ms)))
+        joined.advance_time(25)
+    # Every 200 ms, and a complete list every 500 ms.
+    for core in cores:
+        assert isinstance(core, BurstEntryCore)
+        assert core.state.counters["relays_sent"] <= 8
+
+
+def test_copy_of_a_first_request_never_meets_its_runs_elsewhere() -> None:
+    """Guards against runs that nobody relays before a copy can come."""
+    joined = make_fleet()
+    joined.advance_time(UNINFORMED_MS)
+    joined.handle("e", submit(1, JOB))
+    joined.advance_time(RETRANSMIT_MS)
+    for token, entry in enumerate("fghijk", 2):
+        joined.handle(entry, submit(token, JOB))
+    joined.advance_time(RUN_MS)
+    assert len(joined.runs()) == JOB.steps[0].tasks
+    for token in range(1, 8):
+        assert joined.replies_to(token) == [ReplyKind.COMPLETED]
