Relay runs of possible repeats at once, as their orders say

Change: the report of such a run is marked as urgent.

Measured: test_runs_of_an_entry_that_has_just_started_are_relayed_at_once fails before, and passes now.

--- a/src/sardineferry/decision/burst/agent_other_runs.py
+++ b/src/sardineferry/decision/burst/agent_other_runs.py
@@ -42,6 +42,8 @@
     """Let a run that should last, or of a repeated job, be reported with this pass."""
     if is_repeat or run.estimate_ms >= timing.LASTING_RUN_MS:
         add_to_report(state, run)
+    if is_repeat:
+        state.is_report_urgent = True
 
 
 def add_to_report(state: BurstAgentState, run: Run) -> None:
@@ -81,11 +83,13 @@
     running, state.unreported_runs = state.unreported_runs, []
     ends, state.unreported_ends = state.unreported_ends, []
     short, state.unreported_short_runs = state.unreported_short_runs, []
+    is_urgent, state.is_report_urgent = state.is_report_urgent, False
     state.short_runs_due_ms = None
     ends += short
     done = group_by_job(run for run, how in ends if how == ENDED_DONE)
     lost = group_by_job(run for run, how in ends if how != ENDED_DONE)
-    send_to_other_entries(state, OtherRuns(group_by_job(running), done, lost))
+    report = OtherRuns(group_by_job(running), done, lost, is_urgent=is_urgent)
+    send_to_other_entries(state, report)
 
 
 def report_all_runs(state: BurstAgentState, view: EntryView, now_ms: int) -> None:
@@ -115,6 +119,7 @@
             of_other_entries(report.lost, view),
         )
         if any(message):
+            message = message._replace(is_urgent=report.is_urgent)
             state.effects.append(Send(view.link, message))
 
 
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -262,6 +262,8 @@
         # and short ones that have ended, each with its outcome.
         self.unreported_runs: list[Run] = []
         self.unreported_ends: list[tuple[Run, str]] = []
+        # Whether copies of the requests of unreported runs may be about.
+        self.is_report_urgent = False
         self.unreported_short_runs: list[tuple[Run, str]] = []
         # When the oldest of these is due; None if there are none.
         self.short_runs_due_ms: int | None = None
--- a/src/sardineferry/decision/burst/entry_other_runs.py
+++ b/src/sardineferry/decision/burst/entry_other_runs.py
@@ -57,8 +57,10 @@
     if view is None:
         return
     source = RunSource(view.name, view.incarnation)
-    is_urgent = event.is_complete or any(
-        state.may_be_copy(item.job_id, now_ms) for item in event.running
+    is_urgent = (
+        event.is_complete
+        or event.is_urgent
+        or any(state.may_be_copy(item.job_id, now_ms) for item in event.running)
     )
     named_before = state.other_runs.forget_source(source) if event.is_complete else []
     for item in event.running:
--- a/src/sardineferry/messages/burst.py
+++ b/src/sardineferry/messages/burst.py
@@ -270,13 +270,15 @@
 
     ``running`` are new runs that last. ``done`` and ``lost`` are runs that have ended
     with or without that outcome, also short ones. The first report on a link
-    ``is_complete``: it lists all that go on.
+    ``is_complete``: it lists all that go on. It is urgent if copies of the requests of
+    the running jobs may be about.
     """
 
     running: tuple[JobTasks, ...]
     done: tuple[JobTasks, ...] = ()
     lost: tuple[JobTasks, ...] = ()
     is_complete: bool = False
+    is_urgent: bool = False
 
 
 class AgentRuns(NamedTuple):
--- a/tests/decision/burst/test_combined_faults.py
+++ b/tests/decision/burst/test_combined_faults.py
@@ -60,6 +60,8 @@
         ("late copies, links reset", 33),
         ("late copies, callers return", 1),
         ("late copies, all", 2),
+        # Of a job that an entry took for new after its restart.
+        ("late copies, all", 17),
     ],
 )
 def test_copies_at_unlinked_entries_never_cause_two_runs_of_a_task(
--- a/tests/decision/burst/test_relayed_runs.py
+++ b/tests/decision/burst/test_relayed_runs.py
@@ -483,3 +483,23 @@
     assert len(joined.runs()) == JOB.steps[0].tasks
     for token in range(1, 8):
         assert joined.replies_to(token) == [ReplyKind.COMPLETED]
+
+
+def test_runs_of_an_entry_that_has_just_started_are_relayed_at_once() -> None:
+    """Guards against copies at entries that neither know the job nor are told soon."""
+    joined = make_fleet()
+    joined.kill("e")
+    joined.advance_time(UNINFORMED_MS)
+    joined.restart_entry("e")
+    joined.handle("e", ConfigurationRead(b"1"))
+    joined.advance_time(500)
+    # Other runs, so that a complete list has just been relayed.
+    joined.handle("e", submit(100, job(2, estimate_ms=RUN_MS)))
+    joined.advance_time(2 * RELAYED_MS)
+    joined.handle("e", submit(1, JOB))
+    joined.advance_time(RELAYED_MS)
+    for token, entry in enumerate("fghijk", 2):
+        joined.handle(entry, submit(token, JOB))
+    joined.advance_time(RUN_MS)
+    assert joined.simultaneous_runs() == []
+    assert len(joined.runs()) == 1 + JOB.steps[0].tasks
