Declare messages on evacuations, waiting work and cold workers

Parts that are built side by side share these types: evacuations of data centres with the offset of their list, waiting work by priority in echoes and capacity updates, and how long a worker stays slow after its start. All new fields have defaults; nothing sends or reads them yet.

--- a/src/sardineferry/messages/burst.py
+++ b/src/sardineferry/messages/burst.py
@@ -26,14 +26,17 @@
     "ConfigOffer",
     "ConfigPart",
     "ConfigRequest",
+    "EntryBacklog",
     "EntryBeat",
     "EntryEndpoint",
     "EntryLeft",
     "EntryWelcome",
+    "Evacuations",
     "HeldRuns",
     "JobCancelled",
     "JobTasks",
     "OtherRuns",
+    "PriorityWork",
     "RelayedRuns",
     "Resources",
     "RunEnded",
@@ -153,7 +156,8 @@
 
     ``born_ms`` is when the worker process started, in Unix time, or 0 if
     unknown; it identifies that process. ``draining`` stays true until the
-    worker restarts.
+    worker restarts. ``cold_left_ms`` is how long the worker stays slow after its
+    start, counted from when the message was sent.
     """
 
     service: str
@@ -161,6 +165,22 @@
     labels: tuple[str, ...]
     born_ms: int
     draining: bool
+    cold_left_ms: int = 0
+
+
+class PriorityWork(NamedTuple):
+    """Work that waits at an entry, in thousandths of a core times ms, by priority."""
+
+    priority: int
+    work: int
+
+
+class EntryBacklog(NamedTuple):
+    """What waits at an entry, as it stated ``age_ms`` before the message was sent."""
+
+    entry: str
+    age_ms: int
+    waiting: tuple[PriorityWork, ...]
 
 
 class WorkerRoom(NamedTuple):
@@ -170,6 +190,7 @@
     ``free`` accounts for. ``speed`` is the mean logarithm of the worker's
     slowdown (run time over ``StartRuns.estimate_ms``), so that a higher value means
     a slower worker. It is learned from ``speed_runs`` runs of all entries.
+    ``backlogs`` names what waits at other entries that the agent is linked to.
     """
 
     sent_at_ms: int
@@ -178,6 +199,7 @@
     last_order: int
     speed: float
     speed_runs: int
+    backlogs: tuple[EntryBacklog, ...] = ()
 
 
 class WatchRoom(NamedTuple):
@@ -198,11 +220,12 @@
 
     ``wanted_orders`` are the numbers of the entry's orders whose runs may go on. The
     agent stops the entry's other runs, so that none goes on because a ``StopRuns``
-    was lost with its link.
+    was lost with its link. ``waiting`` states the entry's waiting work by priority.
     """
 
     echo_ms: int
     wanted_orders: tuple[int, ...]
+    waiting: tuple[PriorityWork, ...] = ()
 
 
 class StartRuns(NamedTuple):
@@ -327,6 +350,17 @@
     entry: str
 
 
+class Evacuations(NamedTuple):
+    """In both directions: the data centres where no run may be started.
+
+    ``position`` is the offset at which the list was read from the store; a list with a
+    higher one replaces it.
+    """
+
+    position: int
+    data_centres: tuple[str, ...]
+
+
 class ConfigOffer(NamedTuple):
     """In both directions: a version of the configuration that the sender can send.
 
@@ -367,6 +401,7 @@
     | EntryBeat
     | EntryLeft
     | EntryWelcome
+    | Evacuations
     | HeldRuns
     | JobCancelled
     | OtherRuns
