Ask a worker that is down less often while it can have no runs

Cause: after a hold without an answer the agent sent the next one 20 ms later, each on a new connection.

Change: while the agent has no runs at the worker and knows of none, the delay doubles with each hold in a row without an answer, up to 160 ms. A report of the worker ends the delay at once, and a run that is ordered meanwhile brings it back to 20 ms, so leases are extended as before.

--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -284,6 +284,8 @@
         self.hold_worker_id = ""
         self.hold_candidate: WorkerReported | None = None
         self.hold_due_ms = 0
+        # Holds in a row that got no answer, since the worker's last report or answer.
+        self.unanswered_holds = 0
         # The highest number of an end that the worker listed, whether it is still to be
         # acknowledged, and whether the last hold was answered by this incarnation.
         self.acknowledged = 0
--- a/src/sardineferry/decision/burst/agent_worker.py
+++ b/src/sardineferry/decision/burst/agent_worker.py
@@ -38,6 +38,9 @@
 # Delay before the next hold after one without an answer, or while the worker
 # still lists runs that are unknown here.
 HOLD_RETRY_DELAY_MS = 20
+# While no run may be at the worker, the delay doubles with each hold in a row without
+# an answer, up to this: each try to a worker that is down costs a connection.
+MAX_HOLD_RETRY_DELAY_MS = 160
 # Reports of an incarnation that was not at the worker are ignored for this long, less
 # than the time between two reports: it may have taken the worker's place since.
 ASK_AGAIN_MS = 1_000
@@ -53,6 +56,10 @@
     proves nothing while runs may go on, so the worker is asked who it is.
     """
     worker = state.worker
+    if state.unanswered_holds:
+        # The worker is up again, or was never down.
+        state.unanswered_holds = 0
+        state.hold_due_ms = now_ms
     if worker is None:
         adopt_incarnation(state, event, "heartbeat", now_ms)
         apply_capabilities(state, event)
@@ -294,6 +301,9 @@
     candidate = state.candidate
     is_settled = state.reconciled and candidate is None
     nothing_to_learn = idle and is_settled and not state.ack_due
+    if state.runs:
+        # A run may have been ordered during a longer delay.
+        state.hold_due_ms = min(state.hold_due_ms, now_ms + HOLD_RETRY_DELAY_MS)
     delayed = now_ms < state.hold_due_ms
     if state.hold_pending or nothing_to_learn or delayed:
         return
@@ -330,6 +340,18 @@
     )
 
 
+def hold_retry_delay_ms(state: BurstAgentState) -> int:
+    """Return the delay before the next hold, after one without an answer.
+
+    A worker that may have runs is asked again at once, to extend or end their lease.
+    """
+    if state.runs or state.unknown_runs:
+        return HOLD_RETRY_DELAY_MS
+    # Bounds the exponent: the delay has long reached its maximum.
+    doublings = min(state.unanswered_holds, 8)
+    return min(MAX_HOLD_RETRY_DELAY_MS, HOLD_RETRY_DELAY_MS << doublings)
+
+
 @handle_agent_event.register(HoldAnswered)
 def on_hold_answered(
     event: HoldAnswered, state: BurstAgentState, _sender: str, now_ms: int
@@ -353,7 +375,8 @@
         return
     if not event.answered:
         state.counters["holds_unanswered"] += 1
-        state.hold_due_ms = now_ms + HOLD_RETRY_DELAY_MS
+        state.hold_due_ms = now_ms + hold_retry_delay_ms(state)
+        state.unanswered_holds += 1
         fields: dict[str, object] = {
             "runs": len(state.runs),
             "waited_ms": now_ms - event.sent_ms,
@@ -361,6 +384,7 @@
         }
         state.effects.append(LogDecision("hold unanswered", fields))
         return
+    state.unanswered_holds = 0
     known = state.worker
     adopt_answering_worker(state, event, asked_candidate, now_ms)
     worker = state.worker
