Remove circular imports between modules of the agent

Cause: agent_state imported DialledEntry from agent_membership, which imports agent_dispatch and through it agent_state; agent_links and agent_worker imported each other for send_profile and adopt_profile.

Change: DialledEntry has its own module dialled_entry; send_profile and send_profiles are in agent_profiles, which both modules import.

--- a/src/sardineferry/decision/burst/agent_links.py
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -11,6 +11,7 @@
 
 from sardineferry.decision.burst import agent_membership
 from sardineferry.decision.burst import agent_other_runs
+from sardineferry.decision.burst import agent_profiles
 from sardineferry.decision.burst import agent_runs
 from sardineferry.decision.burst import agent_worker
 from sardineferry.decision.burst import timing
@@ -34,7 +35,6 @@
 from sardineferry.messages.burst import RelayedRuns
 from sardineferry.messages.burst import WatchRoom
 from sardineferry.messages.burst import WorkerAnnounce
-from sardineferry.messages.burst import WorkerProfile
 from sardineferry.messages.burst import WorkerRoom
 
 if TYPE_CHECKING:
@@ -48,7 +48,6 @@
     "heartbeat_due_times",
     "send_due_capacity_updates",
     "send_due_heartbeats",
-    "send_profile",
 ]
 
 # Least time between two capacity updates to an entry that gets frequent ones. If an
@@ -165,7 +164,7 @@
         *repeat_relays(state, view, now_ms),
     ]
     state.effects.extend(Send(view.link, message) for message in messages)
-    send_profile(state, view)
+    agent_profiles.send_profile(state, view)
     send_capacity(state, view, now_ms)
     state.effects.extend(state.config_relay.announce([view.link]))
 
@@ -333,20 +332,6 @@
     return state.entry_views.get(name) if name else None
 
 
-def send_profile(state: BurstAgentState, view: EntryView) -> None:
-    """Send an entry the worker's profile, if it is known."""
-    if state.total is not None:
-        worker = state.worker
-        profile = WorkerProfile(
-            state.service,
-            state.total,
-            state.labels,
-            worker.report.born_ms if worker is not None else 0,
-            worker is not None and worker.report.draining,
-        )
-        state.effects.append(Send(view.link, profile))
-
-
 def send_capacity(state: BurstAgentState, view: EntryView, now_ms: int) -> None:
     """Send an entry the worker's free capacity and learned slowdown."""
     view.capacity_sent = offered_capacity(state, view)
--- a/src/sardineferry/decision/burst/agent_membership.py
+++ b/src/sardineferry/decision/burst/agent_membership.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sardineferry.decision.burst.agent_dispatch import handle_agent_event
+from sardineferry.decision.burst.dialled_entry import DialledEntry
 from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.link_selection import rank_entries
 from sardineferry.decision.burst.link_selection import select_entries
@@ -20,7 +21,7 @@
     from sardineferry.decision.burst.agent_state import BurstAgentState
     from sardineferry.messages.burst import EntryWelcome
 
-__all__ = ["DialledEntry", "record_link", "record_welcome", "review_links"]
+__all__ = ["record_link", "record_welcome", "review_links"]
 
 # An entry without a link for longer than this counts as absent: the agent goes on
 # dialling it, and links to another entry in addition. A killed entry is back after
@@ -37,30 +38,6 @@
 REVIEW_INTERVAL_MS = 250
 
 
-class DialledEntry:
-    """An address that the agent has dialled, until its link is closed as unneeded."""
-
-    __slots__ = (
-        "incarnation",
-        "link_changed_ms",
-        "linked",
-        "retire_due_ms",
-        "was_linked",
-    )
-
-    def __init__(self, now_ms: int, incarnation: str = "") -> None:
-        """Create it without a link."""
-        self.incarnation = incarnation
-        self.linked = False
-        self.was_linked = False
-        # When the link was last established or lost, or when ``dial`` dialled the
-        # address if that is later. An entry without a link that has restarted is
-        # dialled again, and so counts as absent only ``ABSENT_AFTER_MS`` after that.
-        self.link_changed_ms = now_ms
-        # When the link may be closed; None while it is needed.
-        self.retire_due_ms: int | None = None
-
-
 @handle_agent_event.register(AddressesRead)
 def on_addresses_read(
     event: AddressesRead, state: BurstAgentState, _sender: str, now_ms: int
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -18,7 +18,7 @@
 from sardineferry.messages.burst import RunRef
 
 if TYPE_CHECKING:
-    from sardineferry.decision.burst.agent_membership import DialledEntry
+    from sardineferry.decision.burst.dialled_entry import DialledEntry
     from sardineferry.decision.burst.effects import BurstEffect
     from sardineferry.decision.burst.link_selection import EntryRanking
     from sardineferry.decision.burst.worker import WorkerReported
--- a/src/sardineferry/decision/burst/agent_worker.py
+++ b/src/sardineferry/decision/burst/agent_worker.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from sardineferry.decision.burst import agent_links
 from sardineferry.decision.burst import agent_runs
 from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.agent_dispatch import handle_agent_event
+from sardineferry.decision.burst.agent_profiles import send_profiles
 from sardineferry.decision.burst.agent_state import Succession
 from sardineferry.decision.burst.agent_state import WorkerIncarnation
 from sardineferry.decision.burst.effects import LogDecision
@@ -156,14 +156,6 @@
         log_worker(state, "worker draining, as reported by an entry", worker.report)
 
 
-def send_profiles(state: BurstAgentState) -> None:
-    """Send the worker's profile to all linked entries."""
-    state.capacity_changed = True
-    for view in state.entry_views.values():
-        if view.linked:
-            agent_links.send_profile(state, view)
-
-
 def is_same_incarnation(known: WorkerReported, event: WorkerReported) -> bool:
     """Return whether two reports are from the same worker incarnation.
 
