Metrics: show current values as gauges

Cause: the metrics page had only counters and latencies, so it could not show a list that a process holds, or its age.

Change: the server takes functions that return gauges; without any, the page is unchanged.

--- a/src/sardineferry/metrics_page.py
+++ b/src/sardineferry/metrics_page.py
@@ -1,4 +1,4 @@
-"""Counters and latency histograms in the Prometheus text format."""
+"""Counters, gauges and latency histograms in the Prometheus text format."""
 
 from __future__ import annotations
 
@@ -8,30 +8,42 @@
 from prometheus_client import CollectorRegistry
 from prometheus_client import generate_latest
 from prometheus_client.core import CounterMetricFamily
+from prometheus_client.core import GaugeMetricFamily
 from prometheus_client.core import HistogramMetricFamily
 
 from sardineferry.latencies import BUCKET_BOUNDS_MS
 
 if TYPE_CHECKING:
     from collections import Counter
+    from collections.abc import Callable
+    from collections.abc import Iterable
     from collections.abc import Iterator
 
     from prometheus_client import Metric
 
+    from sardineferry.gauges import Gauge
     from sardineferry.latencies import LatencyHistograms
 
+    GaugeSource = Callable[[], Iterable[Gauge]]
+
 __all__ = ["MetricsPage"]
 
 MS_PER_S = 1_000
 
 
 class ProcessCollector:
-    """A Prometheus collector for a core's counters and its process's latencies."""
-
-    def __init__(self, counters: Counter[str], latencies: LatencyHistograms) -> None:
+    """A Prometheus collector for a core's values and its process's latencies."""
+
+    def __init__(
+        self,
+        counters: Counter[str],
+        latencies: LatencyHistograms,
+        gauge_sources: Iterable[GaugeSource],
+    ) -> None:
         """Use the tables that the loop's thread keeps updating."""
         self.counters = counters
         self.latencies = latencies
+        self.gauge_sources = gauge_sources
 
     def collect(self) -> Iterator[Metric]:
         """Yield all metrics with their current values."""
@@ -39,8 +51,27 @@
             yield CounterMetricFamily(
                 f"sardineferry_{name}", name.replace("_", " "), value=value
             )
+        yield from self.gauges()
         yield self.latency_histogram()
 
+    def gauges(self) -> Iterator[Metric]:
+        """Yield all gauges, those of one name as one metric."""
+        families: dict[str, GaugeMetricFamily] = {}
+        for gauge in itertools.chain.from_iterable(
+            collect() for collect in self.gauge_sources
+        ):
+            names = [label for label, _ in gauge.labels]
+            family = families.setdefault(
+                gauge.name,
+                GaugeMetricFamily(
+                    f"sardineferry_{gauge.name}",
+                    gauge.name.replace("_", " "),
+                    labels=names,
+                ),
+            )
+            family.add_metric([value for _, value in gauge.labels], gauge.value)
+        yield from families.values()
+
     def latency_histogram(self) -> Metric:
         """Return the latencies as a histogram with cumulative buckets."""
         family = HistogramMetricFamily(
@@ -59,10 +90,15 @@
 class MetricsPage:
     """The metrics of one process as a page of text."""
 
-    def __init__(self, counters: Counter[str], latencies: LatencyHistograms) -> None:
-        """Register the counters and the latencies."""
+    def __init__(
+        self,
+        counters: Counter[str],
+        latencies: LatencyHistograms,
+        gauge_sources: Iterable[GaugeSource] = (),
+    ) -> None:
+        """Register the counters, the gauges and the latencies."""
         self.registry = CollectorRegistry()
-        self.registry.register(ProcessCollector(counters, latencies))
+        self.registry.register(ProcessCollector(counters, latencies, gauge_sources))
 
     def text(self) -> bytes:
         """Return all metrics with their current values."""
--- a/src/sardineferry/metrics_server.py
+++ b/src/sardineferry/metrics_server.py
@@ -13,7 +13,10 @@
 
 if TYPE_CHECKING:
     from collections import Counter
+    from collections.abc import Callable
+    from collections.abc import Iterable
 
+    from sardineferry.gauges import Gauge
     from sardineferry.loop import IoLoop
     from sardineferry.metrics_page import MetricsPage
     from sardineferry.web import Exchange
@@ -47,6 +50,8 @@
         self.loop = loop
         self.counters = counters
         self.latencies = LatencyHistograms()
+        # Functions that return the current values of gauges.
+        self.gauge_sources: list[Callable[[], Iterable[Gauge]]] = []
         self.page: MetricsPage | None = None
         self.loader: threading.Thread | None = None
         # Requests to be answered once the library is loaded.
@@ -74,7 +79,7 @@
         """Import the metrics library; runs in the ``loader`` thread."""
         from sardineferry.metrics_page import MetricsPage
 
-        page = MetricsPage(self.counters, self.latencies)
+        page = MetricsPage(self.counters, self.latencies, self.gauge_sources)
         self.loop.post(lambda: self.handle_loaded(page))
 
     def handle_loaded(self, page: MetricsPage) -> None:
