Prefer warm workers while others are slow after their start

Cause: heartbeats state in ColdLeftMs how long a worker stays slow, but nothing read it, so a worker that had just started was placed like any other.

Change: the agent passes the time on in the worker's profile and learns the slowdown of a cold worker anew; what it learned before counts again afterwards.

--- a/src/sardineferry/decision/burst/agent_links.py
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -137,7 +137,7 @@
     view.capacity_sent = None
     state.entry_names_by_link[sender] = view.name
     if event.profile is not None:
-        agent_worker.adopt_profile(state, event.profile)
+        agent_worker.adopt_profile(state, event.profile, now_ms)
     agent_membership.record_welcome(state, event, sender, now_ms)
     send_current_state(state, view, now_ms)
     log_link(state, "link established", view, now_ms)
@@ -164,7 +164,7 @@
         *repeat_relays(state, view, now_ms),
     ]
     state.effects.extend(Send(view.link, message) for message in messages)
-    agent_profiles.send_profile(state, view)
+    agent_profiles.send_profile(state, view, now_ms)
     send_capacity(state, view, now_ms)
     state.effects.extend(state.config_relay.announce([view.link]))
 
--- a/src/sardineferry/decision/burst/agent_profiles.py
+++ b/src/sardineferry/decision/burst/agent_profiles.py
@@ -14,7 +14,7 @@
 __all__ = ["send_profile", "send_profiles"]
 
 
-def send_profile(state: BurstAgentState, view: EntryView) -> None:
+def send_profile(state: BurstAgentState, view: EntryView, now_ms: int) -> None:
     """Send an entry the worker's profile, if it is known."""
     if state.total is not None:
         worker = state.worker
@@ -24,13 +24,14 @@
             state.labels,
             worker.report.born_ms if worker is not None else 0,
             worker is not None and worker.report.draining,
+            max(0, state.cold_until_ms - now_ms),
         )
         state.effects.append(Send(view.link, profile))
 
 
-def send_profiles(state: BurstAgentState) -> None:
+def send_profiles(state: BurstAgentState, now_ms: int) -> None:
     """Send the worker's profile to all linked entries."""
     state.capacity_changed = True
     for view in state.entry_views.values():
         if view.linked:
-            send_profile(state, view)
+            send_profile(state, view, now_ms)
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -259,6 +259,10 @@
         self.slowdown_estimator = SlowdownEstimator()
         self.runs: dict[RunRef, Run] = {}
         # Runs that other entries are to be told of, ended ones that they were told of,
+        # The worker is slow after its start until this time. What was learned before is
+        # kept for when it no longer is; None if it is not cold.
+        self.cold_until_ms = 0
+        self.warm_slowdown_estimator: SlowdownEstimator | None = None
         # and short ones that have ended, each with its outcome.
         self.unreported_runs: list[Run] = []
         self.unreported_ends: list[tuple[Run, str]] = []
--- a/src/sardineferry/decision/burst/agent_worker.py
+++ b/src/sardineferry/decision/burst/agent_worker.py
@@ -62,7 +62,7 @@
         state.hold_due_ms = now_ms
     if worker is None:
         adopt_incarnation(state, event, "heartbeat", now_ms)
-        apply_capabilities(state, event)
+        apply_capabilities(state, event, now_ms)
     elif is_same_incarnation(worker.report, event):
         if event.sequence <= worker.report.sequence:
             record_ignored_report(state, worker, event)
@@ -72,8 +72,8 @@
         worker.update_clock(event.clock_ms, now_ms)
         if drain_changed:
             log_worker(state, "worker draining", event)
-            send_profiles(state)
-        apply_capabilities(state, event)
+            send_profiles(state, now_ms)
+        apply_capabilities(state, event, now_ms)
     elif is_rejected(state, event, now_ms):
         record_ignored_report(state, worker, event)
     elif state.candidate is None or not is_same_incarnation(state.candidate, event):
@@ -94,16 +94,42 @@
     )
 
 
-def apply_capabilities(state: BurstAgentState, report: WorkerReported) -> None:
-    """Use the resources and labels of a report, and tell entries if they are new."""
-    if state.total == report.total and state.labels == report.labels:
-        return
-    # This is the first report, or another machine now has the address, whose
-    # slowdown is not known yet.
-    state.slowdown_estimator = SlowdownEstimator()
-    state.total = report.total
-    state.labels = report.labels
-    send_profiles(state)
+def apply_capabilities(
+    state: BurstAgentState, report: WorkerReported, now_ms: int
+) -> None:
+    """Use a report's resources, labels and coldness; tell entries if they are new."""
+    is_known = state.total == report.total and state.labels == report.labels
+    if not is_known:
+        # This is the first report, or another machine now has the address, whose
+        # slowdown is not known yet.
+        state.slowdown_estimator = SlowdownEstimator()
+        state.warm_slowdown_estimator = None
+        state.total = report.total
+        state.labels = report.labels
+    if apply_coldness(state, report, now_ms) or not is_known:
+        send_profiles(state, now_ms)
+
+
+def apply_coldness(state: BurstAgentState, report: WorkerReported, now_ms: int) -> bool:
+    """Note how long the worker stays slow; return whether it became cold or warm.
+
+    Its slowdown is learned again while it is cold. What was learned before counts again
+    afterwards.
+    """
+    was_cold = state.warm_slowdown_estimator is not None
+    is_cold = report.cold_left_ms > 0
+    state.cold_until_ms = now_ms + report.cold_left_ms if is_cold else 0
+    if is_cold and not was_cold:
+        state.warm_slowdown_estimator = state.slowdown_estimator
+        state.slowdown_estimator = SlowdownEstimator()
+    elif not is_cold and state.warm_slowdown_estimator is not None:
+        state.slowdown_estimator = state.warm_slowdown_estimator
+        state.warm_slowdown_estimator = None
+    if is_cold != was_cold:
+        evidence: dict[str, object] = {"cold_left_ms": report.cold_left_ms}
+        event = "worker is cold" if is_cold else "worker is warm"
+        log_worker(state, event, report, evidence)
+    return is_cold != was_cold
 
 
 def record_ignored_report(
@@ -127,7 +153,7 @@
     state.effects.append(LogDecision("worker report ignored", fields))
 
 
-def adopt_profile(state: BurstAgentState, profile: WorkerProfile) -> None:
+def adopt_profile(state: BurstAgentState, profile: WorkerProfile, now_ms: int) -> None:
     """Use what an entry knows of the worker until the worker reports.
 
     Without this, a restarted agent would start runs at a draining worker, as
@@ -136,6 +162,7 @@
     if state.total is None:
         state.total = profile.total
         state.labels = profile.labels
+        state.cold_until_ms = now_ms + profile.cold_left_ms
         state.capacity_changed = True
     if profile.draining:
         state.draining_incarnations.add(profile.born_ms)
@@ -278,7 +305,7 @@
     if worker is None or worker.report.worker_id != event.worker_id:
         return
     worker.report = worker.report._replace(draining=True)
-    send_profiles(state)
+    send_profiles(state, now_ms)
     log_worker(state, "worker left", worker.report)
 
 
@@ -486,7 +513,7 @@
     else:
         adopt_incarnation(state, report, "answer", now_ms)
     if is_reported:
-        apply_capabilities(state, report)
+        apply_capabilities(state, report, now_ms)
     apply_draining_told_by_entries(state)
 
 
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -97,7 +97,7 @@
         state.name,
         state.incarnation,
         state.data_centre,
-        view.profile,
+        view.current_profile(now_ms),
         state.known_entries,
     )
     state.effects.append(Send(sender, welcome))
@@ -131,6 +131,7 @@
         view.profile = event
 
 
+        view.cold_until_ms = now_ms + event.cold_left_ms
 @handle_entry_event.register(WorkerRoom)
 def on_worker_room(
     event: WorkerRoom, state: BurstEntryState, sender: str, now_ms: int
--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from sardineferry.decision.burst import timing
+from sardineferry.decision.burst.cold_workers import expected_slowdown
 from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.entry_state import AgentView
 from sardineferry.decision.burst.entry_state import PlacedRun
@@ -69,7 +70,7 @@
         if can_receive_orders(state, view, now_ms)
     ]
     slowdowns = {
-        view.name: state.worker_slowdowns.slowdown(view.name, view.kind())
+        view.name: expected_slowdown(state.worker_slowdowns, view, now_ms)
         for view in views
     }
     return EligibleAgents(views, slowdowns)
@@ -211,6 +212,7 @@
         meets_goal(job, slowdown, now_ms),
         is_likely_available(view, job, now_ms),
     )
+        is_cold=now_ms < view.cold_until_ms,
 
 
 def is_likely_available(view: AgentView, job: ActiveJob, now_ms: int) -> bool:
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -319,6 +319,8 @@
         self.linked = False
         self.profile: WorkerProfile | None = None
         # Free capacity in the agent's last report, and what later orders leave of it.
+        # The worker is slow after its start until this time.
+        self.cold_until_ms = 0
         self.reported_free = Resources()
         self.available = Resources()
         self.accepting = False
@@ -406,6 +408,11 @@
         return newest_ms + timing.RUNS_ENDED_AFTER_MS
 
     def kind(self) -> str:
+    def current_profile(self, now_ms: int) -> WorkerProfile | None:
+        """Return the worker's profile with how long the worker now stays cold."""
+        cold_left_ms = max(0, self.cold_until_ms - now_ms)
+        return self.profile and self.profile._replace(cold_left_ms=cold_left_ms)
+
         """Return the worker's kind: its first label."""
         if self.profile is None or not self.profile.labels:
             return ""
--- a/src/sardineferry/decision/burst/slowdown.py
+++ b/src/sardineferry/decision/burst/slowdown.py
@@ -151,6 +151,11 @@
         own_weight = own.runs / (own.runs + PRIOR_WEIGHT_RUNS)
         return math.exp(own_weight * own.mean_log_slowdown + (1.0 - own_weight) * prior)
 
+    def prior_weight(self, worker: str) -> float:
+        """Return the weight of the average of its kind in a worker's slowdown."""
+        _, own = self.workers.get(worker, ("", LearnedSlowdown()))
+        return PRIOR_WEIGHT_RUNS / (own.runs + PRIOR_WEIGHT_RUNS)
+
     def typical_slowdown(self) -> float:
         """Return the geometric mean of all slowdowns.
 
--- a/src/sardineferry/decision/burst/worker.py
+++ b/src/sardineferry/decision/burst/worker.py
@@ -29,7 +29,8 @@
     A worker may restart under the same ``worker_id``, so that an incarnation of
     it (one process) is identified by the id and ``born_ms``, its start in Unix
     time. ``sequence`` rises with each report of an incarnation. ``clock_ms`` is
-    the time on the worker's steady clock.
+    the time on the worker's steady clock. ``cold_left_ms`` is how long the worker
+    stays slow after its start.
     """
 
     worker_id: str
@@ -40,6 +41,7 @@
     labels: tuple[str, ...]
     draining: bool
     clock_ms: int
+    cold_left_ms: int = 0
 
 
 class WorkerLeft(NamedTuple):
--- a/src/sardineferry/platform/heartbeats.py
+++ b/src/sardineferry/platform/heartbeats.py
@@ -49,6 +49,7 @@
     room: RoomBody = msgspec.field(name="Room")
     labels: list[str] = msgspec.field(name="Labels", default_factory=list)
     clock_ms: int = msgspec.field(name="ClockMs", default=0)
+    cold_left_ms: int = msgspec.field(name="ColdLeftMs", default=0)
     born: int = 0
 
 
@@ -74,6 +75,7 @@
             labels=tuple(heartbeat.labels),
             draining=draining,
             clock_ms=heartbeat.clock_ms,
+            cold_left_ms=max(0, heartbeat.cold_left_ms),
         )
     )
 
