Evacuate data centres

Change: entries read the keys evacuate/NAME with their offset and send the list to their agents, which pass it on to their other entries. An entry orders nothing in an evacuated data centre and refuses waiting jobs that the other workers can't start in time. An agent refuses orders with the reason 'evacuated' and repeats no start request; an order for a task that still runs there keeps waiting for its end, so that the task never runs twice at a time.

--- a/src/sardineferry/decision/burst/agent.py
+++ b/src/sardineferry/decision/burst/agent.py
@@ -12,6 +12,7 @@
 from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.agent_dispatch import handle_agent_event
 from sardineferry.decision.burst.agent_state import BurstAgentState
+from sardineferry.decision.burst.evacuation import agent_handlers as evacuation_handlers
 from sardineferry.decision.common_effects import Exit
 
 if TYPE_CHECKING:
@@ -20,7 +21,13 @@
 __all__ = ["HANDLER_MODULES", "BurstAgentCore", "BurstAgentState"]
 
 # Importing these modules registers their event handlers.
-HANDLER_MODULES = (agent_links, agent_membership, agent_runs, agent_worker)
+HANDLER_MODULES = (
+    agent_links,
+    agent_membership,
+    agent_runs,
+    agent_worker,
+    evacuation_handlers,
+)
 
 IDLE_TICK_INTERVAL_MS = 250
 # With runs at the worker, ticks also check whether it has gone silent.
--- a/src/sardineferry/decision/burst/agent_links.py
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -145,6 +145,7 @@
 
 def send_current_state(state: BurstAgentState, view: EntryView, now_ms: int) -> None:
     """Send an entry all that it may have missed while it had no link."""
+    state.effects.extend(state.evacuation.announce([view.link]))
     agent_other_runs.report_all_runs(state, view, now_ms)
     held = [run.ref for run in state.runs_of(view.name)]
     held += [waiting.ref for waiting in state.waiting_orders_of(view.name)]
--- a/src/sardineferry/decision/burst/agent_runs.py
+++ b/src/sardineferry/decision/burst/agent_runs.py
@@ -13,6 +13,7 @@
 from sardineferry.decision.burst.agent_state import WaitingOrder
 from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.effects import ObserveLatency
+from sardineferry.decision.burst.evacuation import EVACUATED
 from sardineferry.decision.burst.stalls import is_stalled
 from sardineferry.decision.burst.worker import StartAnswer
 from sardineferry.decision.burst.worker import StartAnswered
@@ -75,7 +76,8 @@
     """Start the runs that fit into the free capacity and refuse the others.
 
     An order for a task that still runs waits for the end of that run: if it was
-    refused, its entry would order the task elsewhere, and the two would meet.
+    refused, its entry would order the task elsewhere, and the two would meet. That also
+    applies in an evacuated data centre, where all other runs are refused.
     Runs of the order that this entry ordered before are left as they are. An order on a
     link that another one has replaced is ignored: the list of held runs, sent on the
     new link, has told the entry that it did not arrive.
@@ -101,6 +103,8 @@
             continue
         if not is_valid:
             reason = "order expired"
+        elif state.is_evacuated():
+            reason = EVACUATED
         elif not state.accepting():
             reason = "not accepting"
         elif not free.covers(event.need):
@@ -159,6 +163,8 @@
             report_run_end(state, waiting.entry_name, outcome, now_ms)
         else:
             reason = "waited for an earlier run"
+            if state.is_evacuated():
+                reason = EVACUATED
             refuse_run(state, waiting.entry_name, waiting.ref, reason, now_ms)
 
 
@@ -181,6 +187,8 @@
 ) -> None:
     """Report to an entry that a run was refused and never started."""
     state.counters["runs_refused"] += 1
+    if reason == EVACUATED:
+        state.counters["runs_refused_evacuated"] += 1
     ended = RunEnded(ref, ENDED_REFUSED, 0, reason)
     report_run_end(state, entry_name, ended, now_ms)
 
@@ -271,11 +279,14 @@
 def resend_start(state: BurstAgentState, run: Run, now_ms: int) -> None:
     """Send the start request again, or stop the run if no try is left.
 
-    This can't start a run twice: the worker starts an attempt at most once.
+    This can't start a run twice: the worker starts an attempt at most once. In an
+    evacuated data centre, the run is stopped, as the request could start it.
     """
     if not is_live(run):
         return
-    if run.tries < MAX_START_TRIES and now_ms <= run.expires_ms:
+    if state.is_evacuated():
+        begin_stop(state, run, EVACUATED)
+    elif run.tries < MAX_START_TRIES and now_ms <= run.expires_ms:
         send_start(state, run, now_ms)
     else:
         begin_stop(state, run, "start unanswered")
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -12,6 +12,7 @@
 from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.config_relay import PART_BYTES
 from sardineferry.decision.burst.config_relay import ConfigRelay
+from sardineferry.decision.burst.evacuation import EvacuationRelay
 from sardineferry.decision.burst.slowdown import SlowdownEstimator
 from sardineferry.messages.burst import Resources
 from sardineferry.messages.burst import RunEnded
@@ -234,6 +235,7 @@
         # A restarted entry that can't read the store gets a short configuration from
         # any agent. A long one is kept only by agents that passed it on.
         self.config_relay = ConfigRelay(0, max_unasked_bytes=PART_BYTES)
+        self.evacuation = EvacuationRelay()
         self.entry_views: dict[str, EntryView] = {}
         self.entry_names_by_link: dict[str, str] = {}
         # All known entries by name, their order of preference for this agent, and
@@ -257,12 +259,12 @@
         self.total: Resources | None = None
         self.labels: tuple[str, ...] = ()
         self.slowdown_estimator = SlowdownEstimator()
-        self.runs: dict[RunRef, Run] = {}
-        # Runs that other entries are to be told of, ended ones that they were told of,
         # The worker is slow after its start until this time. What was learned before is
         # kept for when it no longer is; None if it is not cold.
         self.cold_until_ms = 0
         self.warm_slowdown_estimator: SlowdownEstimator | None = None
+        self.runs: dict[RunRef, Run] = {}
+        # Runs that other entries are to be told of, ended ones that they were told of,
         # and short ones that have ended, each with its outcome.
         self.unreported_runs: list[Run] = []
         self.unreported_ends: list[tuple[Run, str]] = []
@@ -344,6 +346,10 @@
             and all(run.stop_failures < MAX_STOP_FAILURES for run in self.runs.values())
         )
 
+    def is_evacuated(self) -> bool:
+        """Return whether no run may be started in this data centre."""
+        return self.evacuation.is_evacuated(self.data_centre)
+
     def runs_of(self, entry_name: str) -> list[Run]:
         """Return the runs that an entry ordered."""
         return [run for run in self.runs.values() if run.entry_name == entry_name]
--- a/src/sardineferry/decision/burst/entry.py
+++ b/src/sardineferry/decision/burst/entry.py
@@ -14,6 +14,7 @@
 from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.entry_dispatch import handle_entry_event
 from sardineferry.decision.burst.entry_state import BurstEntryState
+from sardineferry.decision.burst.evacuation import entry_handlers as evacuation_handlers
 from sardineferry.decision.common_effects import Exit
 from sardineferry.decision.common_effects import Send
 from sardineferry.messages.burst import EntryLeft
@@ -31,6 +32,7 @@
     entry_config,
     entry_other_runs,
     entry_relay,
+    evacuation_handlers,
 )
 
 IDLE_TICK_INTERVAL_MS = 200
@@ -75,6 +77,7 @@
         if self.state.caught_up_ms is None:
             self.state.caught_up_ms = inputs_ms
         entry_placement.place_waiting_tasks(self.state, now_ms)
+        evacuation_handlers.review_after_evacuation(self.state, now_ms)
         entry_agents.send_due_echoes(self.state, now_ms)
         entry_relay.relay_news(self.state, now_ms)
         return self.take_effects()
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -18,6 +18,7 @@
 from sardineferry.decision.burst.entry_state import AgentView
 from sardineferry.decision.burst.entry_state import EndProof
 from sardineferry.decision.burst.entry_state import EndSource
+from sardineferry.decision.burst.evacuation import EVACUATED
 from sardineferry.decision.burst.requests import ReplyKind
 from sardineferry.decision.burst.slowdown import LearnedSlowdown
 from sardineferry.decision.burst.worker import StartAnswer
@@ -101,6 +102,7 @@
         state.known_entries,
     )
     state.effects.append(Send(sender, welcome))
+    state.effects.extend(state.evacuation.announce([sender]))
     state.effects.extend(
         Send(sender, cancelled) for cancelled in recent_cancellations(state, now_ms)
     )
@@ -129,9 +131,9 @@
     view = state.record_contact(sender, now_ms)
     if view is not None:
         view.profile = event
+        view.cold_until_ms = now_ms + event.cold_left_ms
 
 
-        view.cold_until_ms = now_ms + event.cold_left_ms
 @handle_entry_event.register(WorkerRoom)
 def on_worker_room(
     event: WorkerRoom, state: BurstEntryState, sender: str, now_ms: int
@@ -301,6 +303,8 @@
         state.placement_due = True
     if event.how == ENDED_REFUSED:
         state.counters["runs_refused"] += 1
+        if event.reason == EVACUATED:
+            state.evacuation_review_due = True
         if event.reason == StartAnswer.SUPERSEDED.value:
             task.attempt += SUPERSEDED_ATTEMPT_STEP
             job.ran_before = True
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -32,6 +32,7 @@
 
 __all__ = [
     "admit_early_jobs",
+    "estimate_own_rate",
     "expire_callers",
     "expire_waiting_jobs",
     "find_job",
@@ -182,6 +183,7 @@
         if view.profile is not None
         and view.linked
         and view.profile.service == route.service
+        and not state.evacuation.is_evacuated(view.data_centre)
     ]
     discovering = state.is_discovering_workers(now_ms)
     if not profiles:
--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -47,6 +47,7 @@
     return (
         view.linked
         and view.accepting
+        and not state.evacuation.is_evacuated(view.data_centre)
         and view.profile is not None
         and now_ms - view.last_heard_ms <= bound_ms
         and state.caught_up_ms is not None
@@ -211,8 +212,8 @@
         view.name in avoided_agents,
         meets_goal(job, slowdown, now_ms),
         is_likely_available(view, job, now_ms),
-    )
         is_cold=now_ms < view.cold_until_ms,
+    )
 
 
 def is_likely_available(view: AgentView, job: ActiveJob, now_ms: int) -> bool:
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -15,6 +15,7 @@
 from sardineferry.decision.burst.config_relay import ConfigRelay
 from sardineferry.decision.burst.configuration import NO_CONFIGURATION
 from sardineferry.decision.burst.configuration import RouteTable
+from sardineferry.decision.burst.evacuation import EvacuationRelay
 from sardineferry.decision.burst.other_runs import KnownOtherRuns
 from sardineferry.decision.burst.requests import ReplyKind
 from sardineferry.decision.burst.requests import SubmitJob
@@ -318,9 +319,9 @@
         self.incarnation = ""
         self.linked = False
         self.profile: WorkerProfile | None = None
-        # Free capacity in the agent's last report, and what later orders leave of it.
         # The worker is slow after its start until this time.
         self.cold_until_ms = 0
+        # Free capacity in the agent's last report, and what later orders leave of it.
         self.reported_free = Resources()
         self.available = Resources()
         self.accepting = False
@@ -407,12 +408,12 @@
         newest_ms = max(self.timestamp_received_ms, self.last_order_sent_ms)
         return newest_ms + timing.RUNS_ENDED_AFTER_MS
 
-    def kind(self) -> str:
     def current_profile(self, now_ms: int) -> WorkerProfile | None:
         """Return the worker's profile with how long the worker now stays cold."""
         cold_left_ms = max(0, self.cold_until_ms - now_ms)
         return self.profile and self.profile._replace(cold_left_ms=cold_left_ms)
 
+    def kind(self) -> str:
         """Return the worker's kind: its first label."""
         if self.profile is None or not self.profile.labels:
             return ""
@@ -462,6 +463,11 @@
         self.placement_due = False
         self.other_runs = KnownOtherRuns()
         self.run_relay = RunRelay()
+        self.evacuation = EvacuationRelay()
+        # True if an evacuation may keep waiting jobs from being started in time.
+        self.evacuation_review_due = False
+        # Evacuated data centres that no known process has, and that were logged.
+        self.unknown_data_centres: set[str] = set()
         self.ended_jobs: OrderedDict[str, EndedJob] = OrderedDict()
         # The latest jobs that were cancelled here, with the times.
         self.cancellations: deque[tuple[int, str]] = deque(maxlen=MAX_CANCELLATIONS)
--- a/src/sardineferry/deployment/agent.py
+++ b/src/sardineferry/deployment/agent.py
@@ -7,6 +7,8 @@
 
 from sardineferry.burst.agent import AgentParts
 from sardineferry.burst.agent import BurstAgentProcess
+from sardineferry.burst.evacuation_gauges import evacuation_gauges
+from sardineferry.clock import now_ms
 from sardineferry.decision.burst.agent import BurstAgentCore
 from sardineferry.decision.burst.agent import BurstAgentState
 from sardineferry.deployment.common_parts import build_common_parts
@@ -64,6 +66,8 @@
         int(time.time() * MS_PER_S),
         settings.grace_ms,
     )
+    metrics_server = MetricsServer(loop, settings.ip, state.counters, metrics_port)
+    metrics_server.gauge_sources.append(evacuation_gauges(state.evacuation, now_ms))
     parts = AgentParts(
         loop=loop,
         core=BurstAgentCore(state),
@@ -80,7 +84,7 @@
             HEARTBEAT_SERVER_LIMITS,
         ),
         background_parts=(common.entries_watch,),
-        metrics_server=MetricsServer(loop, settings.ip, state.counters, metrics_port),
+        metrics_server=metrics_server,
         log=common.log,
         settings_watch=common.settings_watch,
     )
--- a/src/sardineferry/deployment/entry.py
+++ b/src/sardineferry/deployment/entry.py
@@ -7,6 +7,8 @@
 from sardineferry.burst.entry import BurstEntryProcess
 from sardineferry.burst.entry import EntryParts
 from sardineferry.burst.entry import readiness_handler
+from sardineferry.burst.evacuation_gauges import evacuation_gauges
+from sardineferry.clock import now_ms
 from sardineferry.decision.burst.entry import BurstEntryCore
 from sardineferry.decision.burst.entry import BurstEntryState
 from sardineferry.deployment.common_parts import build_common_parts
@@ -19,8 +21,8 @@
 from sardineferry.platform.configuration import CONFIG_TOPIC
 from sardineferry.platform.configuration import decode_configuration
 from sardineferry.platform.topic_watch import TopicWatch
-from sardineferry.platform.topic_watch import configuration_handler
 from sardineferry.platform.topic_watch import entry_registration
+from sardineferry.platform.topic_watch import operator_handler
 from sardineferry.transport import LinkListener
 from sardineferry.web import HttpLimits
 from sardineferry.web import HttpServer
@@ -90,11 +92,13 @@
         common.store,
         CONFIG_READ_WAIT_MS,
         common.random,
-        configuration_handler(mailbox),
+        operator_handler(mailbox),
     )
     caller_limits = HttpLimits(
         connections=max_caller_connections(settings.memory_mb, settings.descriptors)
     )
+    metrics_server = MetricsServer(loop, settings.ip, state.counters, metrics_port)
+    metrics_server.gauge_sources.append(evacuation_gauges(state.evacuation, now_ms))
     parts = EntryParts(
         loop=loop,
         core=BurstEntryCore(state),
@@ -116,7 +120,7 @@
             common.entries_watch,
             entry_registration(loop, common.store, endpoint),
         ),
-        metrics_server=MetricsServer(loop, settings.ip, state.counters, metrics_port),
+        metrics_server=metrics_server,
         log=common.log,
         settings_watch=common.settings_watch,
     )
--- a/src/sardineferry/explain/causes.py
+++ b/src/sardineferry/explain/causes.py
@@ -46,6 +46,7 @@
 
 CAUSE_BY_REASON = {
     "no room in time": Cause.WAITED,
+    "no room in time after an evacuation": Cause.WAITED,
     "no room for a repeat": Cause.RUN_LOST,
     "attempts used up": Cause.RUN_FAILED,
     "entry is leaving": Cause.STOPPING,
@@ -53,6 +54,7 @@
     "no configuration yet": Cause.NO_CONFIGURATION,
     "no worker of the service is linked": Cause.NO_WORKER,
     "no worker is large enough or has the label": Cause.NO_WORKER,
+    "no worker outside evacuated data centres": Cause.NO_WORKER,
     "caller left": Cause.CALLER_LEFT,
     "cancelled": Cause.CALLER_LEFT,
 }
--- a/src/sardineferry/platform/topic_watch.py
+++ b/src/sardineferry/platform/topic_watch.py
@@ -9,11 +9,13 @@
 from returns.result import Result
 
 from sardineferry.clock import now_s
+from sardineferry.decision.burst.evacuation import EvacuationsRead
 from sardineferry.decision.burst.membership import EntriesRead
 from sardineferry.decision.burst.requests import ConfigurationRead
 from sardineferry.futures import when_done
 from sardineferry.logs import part_logger
 from sardineferry.messages.burst import EntryEndpoint
+from sardineferry.messages.burst import Evacuations
 from sardineferry.platform.configuration import CONFIG_KEY
 from sardineferry.platform.retry import RETRY_DELAY_S
 from sardineferry.platform.retry import RetriedCall
@@ -31,16 +33,25 @@
     from sardineferry.platform.store import StoreError
     from sardineferry.platform.store import StoreRecords
 
+    # Gets the newest values by key, and the offset up to which they were read. Records
+    # after that offset may be included.
+    OnValues = Callable[[dict[str, bytes], int], None]
+
 __all__ = [
     "ENTRIES_TOPIC",
     "TopicWatch",
     "configuration_handler",
     "entries_handler",
     "entry_registration",
+    "evacuations_handler",
+    "operator_handler",
 ]
 
 # The topic in which entries register under their names.
 ENTRIES_TOPIC = "keyed.sardineferry-entries"
+# To evacuate a data centre, the operator writes a record whose key is this and the data
+# centre's name.
+EVACUATION_PREFIX = "evacuate/"
 # The delay before another try to read a topic is extended by a random share of up
 # to this, so that processes don't retry in step after an outage.
 RETRY_SPREAD = 0.5
@@ -74,9 +85,9 @@
         client: StoreClient,
         wait_ms: int,
         random: Random,
-        on_values: Callable[[dict[str, bytes]], None],
+        on_values: OnValues,
     ) -> None:
-        """Prepare to watch a topic; ``on_values`` gets the newest values by key."""
+        """Prepare to watch a topic; ``on_values`` gets what is read."""
         self.loop = loop
         self.topic = topic
         self.client = client
@@ -109,7 +120,7 @@
         newest = result.unwrap()
         self.values = newest.values
         self.full_read_due_s = now_s() + FULL_READ_INTERVAL_S
-        self.on_values(self.values)
+        self.on_values(self.values, newest.end)
         self.wait_for_records(newest.end)
 
     def wait_for_records(self, start: int) -> None:
@@ -136,7 +147,7 @@
             if not value:
                 del self.values[key]
         if parsed:
-            self.on_values(self.values)
+            self.on_values(self.values, position)
         self.wait_for_records(position)
 
     def retry_later(self, reason: str) -> None:
@@ -148,10 +159,10 @@
         self.loop.call_later(RETRY_DELAY_S * delay_factor, self.start)
 
 
-def configuration_handler(mailbox: Mailbox) -> Callable[[dict[str, bytes]], None]:
+def configuration_handler(mailbox: Mailbox) -> OnValues:
     """Return a function that passes the operator's configuration to the core."""
 
-    def put_in_mailbox(values: dict[str, bytes]) -> None:
+    def put_in_mailbox(values: dict[str, bytes], _position: int) -> None:
         text = values.get(CONFIG_KEY)
         if text:
             mailbox.put(ConfigurationRead(text))
@@ -159,10 +170,55 @@
     return put_in_mailbox
 
 
-def entries_handler(mailbox: Mailbox) -> Callable[[dict[str, bytes]], None]:
+def evacuations_handler(mailbox: Mailbox) -> OnValues:
+    """Return a function that passes the list of evacuated data centres to the core."""
+    # Records that were skipped, with their values. Each is logged once.
+    skipped: dict[str, bytes] = {}
+
+    def put_in_mailbox(values: dict[str, bytes], position: int) -> None:
+        names = []
+        for key, value in sorted(values.items()):
+            if not key.startswith(EVACUATION_PREFIX):
+                continue
+            name = key.removeprefix(EVACUATION_PREFIX)
+            if name and is_json_object(value):
+                names.append(name)
+            elif skipped.get(key) != value:
+                skipped[key] = value
+                logger.warning("Skipped the evacuation record %r.", key)
+        mailbox.put(EvacuationsRead(Evacuations(position, tuple(names))))
+
+    return put_in_mailbox
+
+
+def is_json_object(value: bytes) -> bool:
+    """Return whether a value is a JSON object."""
+    try:
+        msgspec.json.decode(value, type=dict)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return False
+    return True
+
+
+def operator_handler(mailbox: Mailbox) -> OnValues:
+    """Return a function that passes on all that the operator writes.
+
+    The evacuations come first, so that they apply to jobs that wait for the
+    configuration.
+    """
+    handlers = (evacuations_handler(mailbox), configuration_handler(mailbox))
+
+    def put_in_mailbox(values: dict[str, bytes], position: int) -> None:
+        for handle in handlers:
+            handle(values, position)
+
+    return put_in_mailbox
+
+
+def entries_handler(mailbox: Mailbox) -> OnValues:
     """Return a function that passes the registered entries to the core."""
 
-    def put_in_mailbox(values: dict[str, bytes]) -> None:
+    def put_in_mailbox(values: dict[str, bytes], _position: int) -> None:
         entries = []
         for name, value in sorted(values.items()):
             try:
--- a/tests/platform/test_bad_responses.py
+++ b/tests/platform/test_bad_responses.py
@@ -249,7 +249,7 @@
         StoreClient(loop, server.address),
         0,
         random.Random(1),
-        lambda values: seen.append(values["config"]),
+        lambda values, _position: seen.append(values["config"]),
     )
     watch.start()
     run_until(loop, lambda: b"2" in seen)
@@ -268,7 +268,7 @@
         client,
         0,
         random.Random(1),
-        lambda values: seen.append(dict(values)),
+        lambda values, _position: seen.append(dict(values)),
     )
     watch.start()
     run_until(loop, lambda: len(seen) >= 2)
@@ -280,7 +280,7 @@
 ) -> None:
     calls: list[int] = []
 
-    def on_values(_values: dict[str, bytes]) -> None:
+    def on_values(_values: dict[str, bytes], _position: int) -> None:
         calls.append(1)
         if len(calls) < 3:
             raise ValueError("planted")
