--- a/bench/deployed_fleet.py
+++ b/bench/deployed_fleet.py
@@ -6,13 +6,16 @@
 
 from __future__ import annotations
 
+import http.client
 import json
 import os
 import signal
+import struct
 import subprocess
 import sys
 import tempfile
 import time
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any
 
@@ -22,6 +25,7 @@
 from bench.fleet import FleetError
 from bench.fleet import call_json
 from bench.fleet import find_free_ports
+from sardineferry.platform.store import keyed_record
 
 __all__ = [
     "HOST_NAME",
@@ -144,6 +148,39 @@
         """Publish a configuration in the store, as the operator does."""
         call_json(self.store_address, "PUT", "/keys/keyed.op/config", new_configuration)
 
+    def write_operator_key(self, key: str, value: bytes) -> None:
+        """Write a key in the store, as the operator does; no value deletes it.
+
+        Raises:
+            FleetError: The store has refused it.
+
+        """
+        record = keyed_record(key, value)
+        connection = http.client.HTTPConnection(self.store_address, timeout=5.0)
+        try:
+            connection.request(
+                "POST",
+                "/v1/log-append?Topic=keyed.op&part=0",
+                struct.pack(">I", len(record)) + record,
+            )
+            status = connection.getresponse().status
+        finally:
+            connection.close()
+        if status != HTTPStatus.OK:
+            raise FleetError(f"the store answered {status}")
+
+    def evacuate(self, data_centre: str) -> None:
+        """Evacuate a data centre."""
+        self.write_operator_key(f"evacuate/{data_centre}", b"{}")
+
+    def revoke_evacuation(self, data_centre: str) -> None:
+        """Revoke the evacuation of a data centre."""
+        self.write_operator_key(f"evacuate/{data_centre}", b"")
+
+    def data_centre_of(self, ip: str) -> str:
+        """Return the data centre of the machine with this address."""
+        return self.data_centres[int(ip.rpartition(".")[2]) % len(self.data_centres)]
+
     def spawn(
         self, name: str, *command: str, settings_path: Path | None = None
     ) -> None:
@@ -170,9 +207,7 @@
         document = {
             "NodeName": name,
             "Ip": ip,
-            "Zone": self.data_centres[
-                int(ip.rpartition(".")[2]) % len(self.data_centres)
-            ],
+            "Zone": self.data_centre_of(ip),
             "Listen": listen,
             "PortRange": [link_port, link_port],
             "Seeds": [f"{entry}:{self.control_port}" for entry in self.entry_ips[:1]],
--- /dev/null
+++ b/tests/decision/burst/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of evacuations of data centres."""
--- a/tests/platform/test_bad_responses.py
+++ b/tests/platform/test_bad_responses.py
@@ -6,12 +6,14 @@
 from __future__ import annotations
 
 import base64
+import json
 import random
 import struct
 from typing import TYPE_CHECKING
 
 import pytest
 
+from sardineferry.decision.burst.evacuation import EvacuationsRead
 from sardineferry.decision.burst.requests import ConfigurationRead
 from sardineferry.decision.burst.worker import HoldAnswered
 from sardineferry.decision.burst.worker import HoldWorker
@@ -22,12 +24,14 @@
 from sardineferry.decision.burst.worker import StopRun
 from sardineferry.loop import IoLoop
 from sardineferry.mailbox import Mailbox
+from sardineferry.messages.burst import Evacuations
 from sardineferry.messages.burst import RunRef
 from sardineferry.platform.configuration import CONFIG_TOPIC
 from sardineferry.platform.store import StoreClient
 from sardineferry.platform.store import keyed_record
 from sardineferry.platform.topic_watch import TopicWatch
 from sardineferry.platform.topic_watch import configuration_handler
+from sardineferry.platform.topic_watch import evacuations_handler
 from sardineferry.platform.worker import WorkerClient
 from sardineferry.web import HttpLimits
 from sardineferry.web import HttpResponse
@@ -290,3 +294,67 @@
     random_source = random.Random(1)
     TopicWatch(loop, CONFIG_TOPIC, client, 0, random_source, on_values).start()
     run_until(loop, lambda: len(calls) >= 3)
+
+
+@pytest.mark.parametrize(
+    ("records", "names"),
+    [
+        ({"evacuate/x": b"{}", "config": b"1"}, ("x",)),
+        ({"evacuate/x": b"{}", "evacuate/y": b'{"By":"op"}'}, ("x", "y")),
+        ({"evacuate/x": b"{", "evacuate/y": b"{}"}, ("y",)),
+        ({"evacuate/x": b"[]", "evacuate/y": b"\xff", "evacuate/z": b"{}"}, ("z",)),
+        ({"evacuate/": b"{}", "evacuated": b"{}"}, ()),
+        ({}, ()),
+    ],
+    ids=["one", "two", "cut off", "not an object", "no name", "none"],
+)
+def test_unreadable_evacuation_does_not_affect_the_others(
+    records: dict[str, bytes], names: tuple[str, ...]
+) -> None:
+    """Guards against an evacuation that is missed because of another record."""
+    mailbox = Mailbox()
+    evacuations_handler(mailbox)(records, 4)
+    taken = mailbox.take()
+    assert taken is not None
+    assert taken[0] == EvacuationsRead(Evacuations(4, names))
+
+
+def test_evacuations_are_read_with_their_offset_also_after_deletions(
+    loop: IoLoop,
+) -> None:
+    """Guards against a list whose position does not rise with the store's offset."""
+    pages = [evacuation_page(True, 1), evacuation_page(False, 3)]
+    responses = [
+        HttpResponse(200, pages[0]),
+        # The position is that of the first page.
+        HttpResponse(200, pages[1]),
+        HttpResponse(200, record_page(2, keyed_record("evacuate/b", b""))),
+        HttpResponse(410, b'{"FirstOffset":9}'),
+        HttpResponse(200, evacuation_page(False, 9)),
+    ]
+
+    def handle(_request: HttpRequest, exchange: Exchange) -> None:
+        exchange.answer(responses.pop(0) if responses else HttpResponse(503, b""))
+
+    server = HttpServer(loop, "127.0.0.1:0", handle, HttpLimits())
+    server.start()
+    mailbox = Mailbox()
+    client = StoreClient(loop, f"127.0.0.1:{server.port}")
+    on_values = evacuations_handler(mailbox)
+    TopicWatch(loop, CONFIG_TOPIC, client, 0, random.Random(1), on_values).start()
+    lists = [next_event(loop, mailbox) for _ in range(3)]
+    assert lists == [
+        EvacuationsRead(Evacuations(1, ("a", "b"))),
+        EvacuationsRead(Evacuations(2, ("a",))),
+        EvacuationsRead(Evacuations(9, ("b",))),
+    ]
+
+
+def evacuation_page(has_more: bool, end: int) -> bytes:
+    key = "evacuate/a" if has_more else "evacuate/b"
+    page = {
+        "items": [{"Key": key, "Value": "e30=", "Offset": 0}],
+        "HasMore": has_more,
+        "EndOffset": end,
+    }
+    return json.dumps(page).encode()
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -144,6 +144,18 @@
     assert (seen.labels, seen.draining, seen.sequence) == (("a", "r1-3"), False, 4)
 
 
+@pytest.mark.parametrize(
+    ("fields", "cold_left_ms"),
+    [({}, 0), ({"ColdLeftMs": 1_250}, 1_250), ({"ColdLeftMs": -1}, 0)],
+)
+def test_cold_time_of_a_heartbeat_is_decoded(
+    fields: dict[str, int], cold_left_ms: int
+) -> None:
+    """Guards against workers that are placed as warm while they are slow."""
+    body = json.dumps({**HEARTBEAT, **fields}).encode()
+    assert parse_heartbeat("i-1", body).unwrap().cold_left_ms == cold_left_ms
+
+
 @pytest.mark.parametrize(
     "change",
     [
--- a/tests/web/test_metrics_server.py
+++ b/tests/web/test_metrics_server.py
@@ -6,7 +6,10 @@
 
 import pytest
 
+from sardineferry.burst.evacuation_gauges import evacuation_gauges
+from sardineferry.decision.burst.evacuation import EvacuationRelay
 from sardineferry.loop import IoLoop
+from sardineferry.messages.burst import Evacuations
 from sardineferry.metrics_server import MetricsServer
 from sardineferry.web import HttpClient
 from tests.loops import run_until
@@ -46,6 +49,24 @@
     assert f'{name}_bucket{{le="0.1",{labels}}} 2.0' in text
 
 
+def test_gauges_show_evacuated_data_centres_with_position_and_age(
+    loop: IoLoop,
+) -> None:
+    """Guards against operators who can't see which list a process holds."""
+    relay = EvacuationRelay()
+    server = MetricsServer(loop, "127.0.0.1", Counter(), 0)
+    server.gauge_sources.append(evacuation_gauges(relay, lambda: 3_500))
+    server.start()
+    assert "evacuat" not in scrape(loop, server)
+    relay.adopt(Evacuations(7, ("dc-1", "dc-2")), 1_000)
+    text = scrape(loop, server)
+    assert "sardineferry_evacuations_position 7.0" in text
+    assert "sardineferry_evacuations_age_seconds 2.5" in text
+    for name in ("dc-1", "dc-2"):
+        label = f'data_centre="{name}"'
+        assert f"sardineferry_data_centre_evacuated{{{label}}} 1.0" in text
+
+
 def test_methods_other_than_get_are_rejected(loop: IoLoop) -> None:
     server = MetricsServer(loop, "127.0.0.1", Counter(), 0)
     server.start()
