--- a/tests/decision/burst/evacuation/test_rules.py
+++ b/tests/decision/burst/evacuation/test_rules.py
@@ -21,8 +21,10 @@
 from sardineferry.messages.burst import RunEnded
 from sardineferry.messages.burst import StartRuns
 from sardineferry.messages.burst import WorkerAnnounce
+from sardineferry.messages.burst import WorkerProfile
 from tests.decision.burst.drive import LINK
 from tests.decision.burst.drive import NEED
+from tests.decision.burst.drive import TOTAL
 from tests.decision.burst.drive import AgentDriver
 from tests.decision.burst.drive import EntryDriver
 from tests.decision.burst.drive import job
@@ -198,6 +200,19 @@
     assert sent(entry.handle(submit(2, job(2))), StartRuns) != []
 
 
+def test_waiting_tasks_are_placed_at_once_after_the_revocation() -> None:
+    """Guards against capacity that stays idle until the next report or tick."""
+    entry = EntryDriver("a")
+    entry.handle(WorkerAnnounce("b", "1", "dc-2"), "b")
+    entry.handle(WorkerProfile("desk", TOTAL, ("a",), 1, False), "b")
+    entry.report_capacity("b", TOTAL)
+    entry.handle(EvacuationsRead(Evacuations(5, ("dc-2",))))
+    entry.handle(submit(1, job(tasks=6)))
+    assert [(name, len(order.runs)) for name, order in entry.orders()] == [("a", 4)]
+    effects = entry.handle(EvacuationsRead(REVOKED))
+    assert [len(order.runs) for order in sent(effects, StartRuns)] == [2]
+
+
 def test_job_that_an_agent_refuses_as_evacuated_is_reviewed(entry: EntryDriver) -> None:
     """Guards against a job that waits as its order crossed the list on a link."""
     entry.handle(submit(1, job()))
