--- a/src/sardineferry/decision/burst/agent_links.py
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -11,6 +11,7 @@
 
 from sardineferry.decision.burst import agent_membership
 from sardineferry.decision.burst import agent_other_runs
+from sardineferry.decision.burst import agent_profiles
 from sardineferry.decision.burst import agent_runs
 from sardineferry.decision.burst import agent_worker
 from sardineferry.decision.burst import timing
@@ -34,7 +35,6 @@
 from sardineferry.messages.burst import RelayedRuns
 from sardineferry.messages.burst import WatchRoom
 from sardineferry.messages.burst import WorkerAnnounce
-from sardineferry.messages.burst import WorkerProfile
 from sardineferry.messages.burst import WorkerRoom
 
 if TYPE_CHECKING:
@@ -48,7 +48,6 @@
     "heartbeat_due_times",
     "send_due_capacity_updates",
     "send_due_heartbeats",
-    "send_profile",
 ]
 
 # Least time between two capacity updates to an entry that gets frequent ones. If an
@@ -138,7 +137,7 @@
     view.capacity_sent = None
     state.entry_names_by_link[sender] = view.name
     if event.profile is not None:
-        agent_worker.adopt_profile(state, event.profile)
+        agent_worker.adopt_profile(state, event.profile, now_ms)
     agent_membership.record_welcome(state, event, sender, now_ms)
     send_current_state(state, view, now_ms)
     log_link(state, "link established", view, now_ms)
@@ -146,6 +145,7 @@
 
 def send_current_state(state: BurstAgentState, view: EntryView, now_ms: int) -> None:
     """Send an entry all that it may have missed while it had no link."""
+    state.effects.extend(state.evacuation.announce([view.link]))
     agent_other_runs.report_all_runs(state, view, now_ms)
     held = [run.ref for run in state.runs_of(view.name)]
     held += [waiting.ref for waiting in state.waiting_orders_of(view.name)]
@@ -165,7 +165,7 @@
         *repeat_relays(state, view, now_ms),
     ]
     state.effects.extend(Send(view.link, message) for message in messages)
-    send_profile(state, view)
+    agent_profiles.send_profile(state, view, now_ms)
     send_capacity(state, view, now_ms)
     state.effects.extend(state.config_relay.announce([view.link]))
 
@@ -333,20 +333,6 @@
     return state.entry_views.get(name) if name else None
 
 
-def send_profile(state: BurstAgentState, view: EntryView) -> None:
-    """Send an entry the worker's profile, if it is known."""
-    if state.total is not None:
-        worker = state.worker
-        profile = WorkerProfile(
-            state.service,
-            state.total,
-            state.labels,
-            worker.report.born_ms if worker is not None else 0,
-            worker is not None and worker.report.draining,
-        )
-        state.effects.append(Send(view.link, profile))
-
-
 def send_capacity(state: BurstAgentState, view: EntryView, now_ms: int) -> None:
     """Send an entry the worker's free capacity and learned slowdown."""
     view.capacity_sent = offered_capacity(state, view)
--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from sardineferry.decision.burst import timing
+from sardineferry.decision.burst.cold_workers import expected_slowdown
 from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.entry_state import AgentView
 from sardineferry.decision.burst.entry_state import PlacedRun
@@ -46,6 +47,7 @@
     return (
         view.linked
         and view.accepting
+        and not state.evacuation.is_evacuated(view.data_centre)
         and view.profile is not None
         and now_ms - view.last_heard_ms <= bound_ms
         and state.caught_up_ms is not None
@@ -69,7 +71,7 @@
         if can_receive_orders(state, view, now_ms)
     ]
     slowdowns = {
-        view.name: state.worker_slowdowns.slowdown(view.name, view.kind())
+        view.name: expected_slowdown(state.worker_slowdowns, view, now_ms)
         for view in views
     }
     return EligibleAgents(views, slowdowns)
@@ -210,6 +212,7 @@
         view.name in avoided_agents,
         meets_goal(job, slowdown, now_ms),
         is_likely_available(view, job, now_ms),
+        is_cold=now_ms < view.cold_until_ms,
     )
 
 
