Show gauges of a core's state on the metrics page

The page had counters and latencies only; values that rise and fall, such as waiting work, could not be shown.

--- a/src/sardineferry/metrics_server.py
+++ b/src/sardineferry/metrics_server.py
@@ -13,7 +13,10 @@
 
 if TYPE_CHECKING:
     from collections import Counter
+    from collections.abc import Callable
+    from collections.abc import Iterable
 
+    from sardineferry.decision.gauges import Gauge
     from sardineferry.loop import IoLoop
     from sardineferry.metrics_page import MetricsPage
     from sardineferry.web import Exchange
@@ -36,9 +39,14 @@
     """
 
     def __init__(
-        self, loop: IoLoop, host: str, counters: Counter[str], port: int
+        self,
+        loop: IoLoop,
+        host: str,
+        counters: Counter[str],
+        port: int,
+        read_gauges: Callable[[], Iterable[Gauge]] = tuple,
     ) -> None:
-        """Bind the address.
+        """Bind the address; ``read_gauges`` is called for each page.
 
         Raises:
             AddressError: The address can't be bound.
@@ -46,6 +54,7 @@
         """
         self.loop = loop
         self.counters = counters
+        self.read_gauges = read_gauges
         self.latencies = LatencyHistograms()
         self.page: MetricsPage | None = None
         self.loader: threading.Thread | None = None
@@ -74,7 +83,7 @@
         """Import the metrics library; runs in the ``loader`` thread."""
         from sardineferry.metrics_page import MetricsPage
 
-        page = MetricsPage(self.counters, self.latencies)
+        page = MetricsPage(self.counters, self.latencies, self.read_gauges)
         self.loop.post(lambda: self.handle_loaded(page))
 
     def handle_loaded(self, page: MetricsPage) -> None:
