State waiting work in echoes and forward it in capacity updates

An entry knew nothing of the work that waits at other entries. It now states its own by priority in each echo while jobs of a service with different priorities wait. Agents forward the others' statements in capacity updates, each at most every 100 ms unless waiting begins or ends, and KnownBacklog keeps the newest of each entry for 500 ms. Ages rest on the echoed timestamp and the agent's clock, so that delays count. Work counts by the part of the agents that the two entries share. Nothing uses it yet.

--- a/src/sardineferry/decision/burst/agent_links.py
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -118,6 +118,7 @@
     if view is not None and view.incarnation != event.incarnation:
         for run in state.runs_of(view.name):
             agent_runs.begin_stop(state, run, "entry restarted")
+        state.stated_backlogs.forget(view.name)
         entry_name = view.name
         agent_runs.drop_waiting_orders(
             state,
@@ -184,6 +185,7 @@
     if view is None or view.link != sender:
         return
     view.last_heard_ms = now_ms
+    state.stated_backlogs.record(view.name, event.echo_ms, event.waiting)
     permitted_until_ms = event.echo_ms + timing.SILENCE_LIMIT_MS
     for run in state.runs_of(view.name):
         if run.order in event.wanted_orders:
@@ -353,12 +355,15 @@
     view.capacity_sent_ms = now_ms
     view.last_timestamp_sent_ms = now_ms
     learned = state.slowdown_estimator.learned()
+    backlogs = state.stated_backlogs.take_news(view.name, now_ms)
+    state.counters["backlogs_forwarded"] += len(backlogs)
     message = WorkerRoom(
         now_ms,
         *view.capacity_sent,
         view.last_order,
         round(learned.mean_log_slowdown, SLOWDOWN_DECIMALS),
         learned.runs,
+        backlogs,
     )
     state.effects.append(Send(view.link, message))
 
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -12,6 +12,7 @@
 from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.config_relay import PART_BYTES
 from sardineferry.decision.burst.config_relay import ConfigRelay
+from sardineferry.decision.burst.overload.agent_backlog import StatedBacklogs
 from sardineferry.decision.burst.slowdown import SlowdownEstimator
 from sardineferry.messages.burst import Resources
 from sardineferry.messages.burst import RunEnded
@@ -307,6 +308,8 @@
         # What entries have relayed since their last complete lists, by entry, each
         # with the time when it arrived.
         self.relayed: dict[str, deque[tuple[int, RelayedRuns]]] = {}
+        # What waits at the entries, and what was sent of it to others.
+        self.stated_backlogs = StatedBacklogs()
         self.drain_started_ms: int | None = None
         # When the process last resumed after a pause; 0 if it never paused.
         self.resumed_ms = 0
--- a/src/sardineferry/decision/burst/entry.py
+++ b/src/sardineferry/decision/burst/entry.py
@@ -95,6 +95,7 @@
         entry_callers.expire_waiting_jobs(state, now_ms)
         state.effects.extend(state.config_relay.continue_transfers(now_ms))
         entry_relay.forget_silent_relays(state, now_ms)
+        state.known_backlog.expire(now_ms)
         entry_other_runs.release_due_jobs(state, now_ms)
         state.placement_due = True
         if state.drain_started_ms is not None:
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -18,6 +18,8 @@
 from sardineferry.decision.burst.entry_state import AgentView
 from sardineferry.decision.burst.entry_state import EndProof
 from sardineferry.decision.burst.entry_state import EndSource
+from sardineferry.decision.burst.overload.entry_backlog import learn_backlogs
+from sardineferry.decision.burst.overload.entry_backlog import state_waiting_work
 from sardineferry.decision.burst.requests import ReplyKind
 from sardineferry.decision.burst.slowdown import LearnedSlowdown
 from sardineferry.decision.burst.worker import StartAnswer
@@ -145,6 +147,8 @@
     view.record_timestamp(event.sent_at_ms, now_ms)
     learned = LearnedSlowdown(event.speed, event.speed_runs)
     state.worker_slowdowns.update(view.name, view.kind(), learned)
+    if event.backlogs:
+        learn_backlogs(state, view, event)
     gap_ms = timing.ECHO_INTERVAL_MS if view.runs else timing.IDLE_ECHO_INTERVAL_MS
     if now_ms - view.last_echo_ms >= gap_ms:
         state.due_echoes[view.name] = None
@@ -179,12 +183,14 @@
     This is done at the end of a pass: one of its events may have ended a job.
     """
     due_echoes, state.due_echoes = state.due_echoes, {}
+    waiting = state_waiting_work(state, now_ms) if due_echoes else ()
     for name in due_echoes:
         view = state.agents.get(name)
         if view is None or not view.linked:
             continue
         view.last_echo_ms = now_ms
-        beat = EntryBeat(view.agent_timestamp_ms, state.wanted_orders(view))
+        orders = state.wanted_orders(view)
+        beat = EntryBeat(view.agent_timestamp_ms, orders, waiting)
         state.effects.append(Send(view.name, beat))
 
 
--- a/src/sardineferry/decision/burst/entry_config.py
+++ b/src/sardineferry/decision/burst/entry_config.py
@@ -12,6 +12,7 @@
 from sardineferry.decision.burst.entry_callers import admit_early_jobs
 from sardineferry.decision.burst.entry_dispatch import handle_entry_event
 from sardineferry.decision.burst.membership import EntriesRead
+from sardineferry.decision.burst.overload.backlog import find_services_with_priorities
 from sardineferry.decision.burst.requests import ConfigurationRead
 from sardineferry.decision.common_events import AddressesRead
 from sardineferry.decision.common_events import Drain
@@ -66,6 +67,7 @@
         return
     state.configuration = configuration
     state.route_table = RouteTable(configuration.routes)
+    state.services_with_priorities = find_services_with_priorities(configuration.routes)
     state.effects.append(ApplyLimits(configuration.limits))
     fields = {
         "version": configuration.version,
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -16,6 +16,8 @@
 from sardineferry.decision.burst.configuration import NO_CONFIGURATION
 from sardineferry.decision.burst.configuration import RouteTable
 from sardineferry.decision.burst.other_runs import KnownOtherRuns
+from sardineferry.decision.burst.overload.backlog import KnownBacklog
+from sardineferry.decision.burst.overload.backlog import OwnStatement
 from sardineferry.decision.burst.requests import ReplyKind
 from sardineferry.decision.burst.requests import SubmitJob
 from sardineferry.decision.burst.run_relay import RunRelay
@@ -458,6 +460,12 @@
         self.ended_jobs: OrderedDict[str, EndedJob] = OrderedDict()
         # The latest jobs that were cancelled here, with the times.
         self.cancellations: deque[tuple[int, str]] = deque(maxlen=MAX_CANCELLATIONS)
+        # The services whose routes have different priorities.
+        self.services_with_priorities: frozenset[str] = frozenset()
+        self.own_statement = OwnStatement()
+        self.known_backlog = KnownBacklog()
+        # The entries and agents from which the shared parts were computed.
+        self.shared_parts_basis: tuple[object, object] = ((), ())
         self.worker_slowdowns = WorkerSlowdowns()
         self.next_order = 1
         self.started_ms: int | None = None
--- a/src/sardineferry/deployment/entry.py
+++ b/src/sardineferry/deployment/entry.py
@@ -7,8 +7,10 @@
 from sardineferry.burst.entry import BurstEntryProcess
 from sardineferry.burst.entry import EntryParts
 from sardineferry.burst.entry import readiness_handler
+from sardineferry.clock import now_ms
 from sardineferry.decision.burst.entry import BurstEntryCore
 from sardineferry.decision.burst.entry import BurstEntryState
+from sardineferry.decision.burst.overload.entry_backlog import read_backlog_gauges
 from sardineferry.deployment.common_parts import build_common_parts
 from sardineferry.incarnation import new_incarnation
 from sardineferry.messages.burst import CODEC
@@ -116,7 +118,13 @@
             common.entries_watch,
             entry_registration(loop, common.store, endpoint),
         ),
-        metrics_server=MetricsServer(loop, settings.ip, state.counters, metrics_port),
+        metrics_server=MetricsServer(
+            loop,
+            settings.ip,
+            state.counters,
+            metrics_port,
+            lambda: read_backlog_gauges(state, now_ms()),
+        ),
         log=common.log,
         settings_watch=common.settings_watch,
     )
