Count the work that waits at other entries in the forecast

Cause: the forecast used a share of the workers' rate that an entry guesses from its own runs. Change: while others' waiting work is known, the forecast is all work ahead over the rate of all workers, and not less than own work over the own share: entries race for free capacity, so a long queue gets no more than its share. The second bound does not apply to a priority below which other work waits. An optional priority restricts the forecast to work as urgent. Log lines show the terms.

--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from sardineferry.decision.burst import admission
 from sardineferry.decision.burst.effects import LogDecision
@@ -53,6 +54,8 @@
 MAX_CONFIGURATION_WAIT_MS = 700
 # The number of jobs that may wait for the configuration; a job takes about 2 KB.
 MAX_EARLY_JOBS = 500
+# A priority that is less urgent than any other.
+LEAST_URGENT = 2**63
 # Retry delay after a refusal for another reason than a long forecast wait, for
 # example while no worker is known.
 DEFAULT_RETRY_MS = 500
@@ -218,30 +221,110 @@
     return None
 
 
+class WorkerRates(NamedTuple):
+    """Work per ms of all workers that may be sent orders, and this entry's share."""
+
+    total: float
+    own: float
+
+
+class ForecastTerms(NamedTuple):
+    """What a forecast rests on; work is in thousandths of a core times ms.
+
+    ``others_work`` is None if no work is known to wait elsewhere. Other entries yield
+    if less urgent work waits at one of them. Without work ahead the rates are 0.
+    """
+
+    own_work: float
+    others_work: float | None
+    others_yield: bool
+    rates: WorkerRates
+
+    def wait_ms(self) -> float:
+        """Return how long a job would wait for its start.
+
+        All workers do all of the work ahead, but entries that wait race for each piece
+        of capacity. So one whose queue is long gets no more than its share, unless the
+        others leave capacity to it.
+        """
+        by_share = admission.forecast_wait_ms(self.own_work, self.rates.own)
+        if self.others_work is None:
+            return by_share
+        work_ahead = self.own_work + self.others_work
+        by_total = admission.forecast_wait_ms(work_ahead, self.rates.total)
+        return by_total if self.others_yield else max(by_total, by_share)
+
+    def log_fields(self) -> dict[str, object]:
+        """Return the terms for a log line."""
+        others = self.others_work
+        return {
+            "own_work": int(self.own_work),
+            "others_work": None if others is None else int(others),
+            "rate": int(self.rates.total),
+            "own_rate": int(self.rates.own),
+        }
+
+
 def forecast_start_wait_ms(
-    state: BurstEntryState, now_ms: int, latest_start_ms: float = 1e18
+    state: BurstEntryState,
+    now_ms: int,
+    latest_start_ms: float = 1e18,
+    priority: int | None = None,
 ) -> float:
     """Return how long a job that arrives now would wait for its start.
 
     Only queued jobs that have started, or whose latest start is not after
     ``latest_start_ms``, count: they are placed before a job with this latest start.
-    By default all count.
+    Given a priority, only work of that priority or a more urgent one counts, and the
+    latest start does not matter for more urgent work. By default all counts. The work
+    of other entries counts as far as it is known.
     """
-    work_ahead = sum(
+    return forecast_terms(state, now_ms, latest_start_ms, priority).wait_ms()
+
+
+def forecast_terms(
+    state: BurstEntryState,
+    now_ms: int,
+    latest_start_ms: float = 1e18,
+    priority: int | None = None,
+) -> ForecastTerms:
+    """Return the terms of ``forecast_start_wait_ms``."""
+    own_work = sum(
         job.waiting_work()
         for job in state.queue
-        if job.started or job.latest_start_ms <= latest_start_ms
+        if priority is None or job.route.priority <= priority
+        if job.started
+        or job.latest_start_ms <= latest_start_ms
+        or (priority is not None and job.route.priority < priority)
     )
-    if work_ahead <= 0:
-        return 0.0
-    return admission.forecast_wait_ms(work_ahead, estimate_own_rate(state, now_ms))
+    others_work: float | None = None
+    others_yield = False
+    if state.known_backlog.is_known(now_ms):
+        bound = LEAST_URGENT if priority is None else priority
+        others_work = state.known_backlog.work_ahead(bound, now_ms)
+        others_yield = any(
+            known > bound for known in state.known_backlog.work_by_priority(now_ms)
+        )
+    if own_work + (others_work or 0.0) <= 0:
+        return ForecastTerms(0.0, others_work, others_yield, WorkerRates(0.0, 0.0))
+    rates = estimate_rates(state, now_ms)
+    return ForecastTerms(own_work, others_work, others_yield, rates)
 
 
 def estimate_own_rate(state: BurstEntryState, now_ms: int) -> float:
-    """Return the work per ms that the workers can do for this entry.
+    """Return the work per ms that the workers can do for the work that is known.
 
-    That is its share of the capacity of all workers to which it may send orders. The
-    share is the part of the used capacity that its own runs take, but at least one
+    If the work that waits at other entries is known, that is the rate of all workers to
+    which this entry may send orders, otherwise its share of that.
+    """
+    rates = estimate_rates(state, now_ms)
+    return rates.total if state.known_backlog.is_known(now_ms) else rates.own
+
+
+def estimate_rates(state: BurstEntryState, now_ms: int) -> WorkerRates:
+    """Return the rate of all workers that may be sent orders, and this entry's share.
+
+    The share is the part of the used capacity that its own runs take, but at least one
     over the number of entries that share an agent.
     """
     capacity = 0.0
@@ -256,7 +339,8 @@
         used_cpu += view.profile.total.cpu - view.reported_free.cpu
         own_cpu += sum(placed.job.step.need.cpu for placed in view.runs.values())
     share = own_cpu / used_cpu if used_cpu > 0 else 0.0
-    return capacity * min(1.0, max(share, 1.0 / max(1, count_sharing_entries(state))))
+    share = min(1.0, max(share, 1.0 / max(1, count_sharing_entries(state))))
+    return WorkerRates(capacity, capacity * share)
 
 
 def count_sharing_entries(state: BurstEntryState) -> int:
@@ -281,6 +365,7 @@
     may_run = earlier.may_have_run or state.other_runs.has_run(job_id)
     kind = ReplyKind.NO_ANSWER if may_run else ReplyKind.NOT_RUN
     state.counters["jobs_refused"] += 1
+    route = state.route_table.match(event.host, event.path)
     fields: dict[str, object] = {
         "job": job_id,
         "reason": reason,
@@ -292,6 +377,8 @@
             if can_receive_orders(state, view, now_ms)
         ),
         "config_version": state.configuration.version,
+        "priority": None if route is None else route.priority,
+        **forecast_terms(state, now_ms).log_fields(),
     }
     state.effects.append(LogDecision("job refused", fields))
     state.effects.append(BurstReply(event.token, kind, reason, retry_after_ms))
@@ -478,8 +565,11 @@
     stop_job_runs(state, job)
     state.counters[f"jobs_{kind.value.replace(' ', '_')}"] += 1
     retry_ms = 0
+    terms: dict[str, object] = {}
     if kind is ReplyKind.NOT_RUN:
-        retry_ms = admission.retry_after_ms(forecast_start_wait_ms(state, now_ms))
+        forecast = forecast_terms(state, now_ms)
+        terms = forecast.log_fields()
+        retry_ms = admission.retry_after_ms(forecast.wait_ms())
     for token in sorted(job.tokens):
         forget_caller(state, token)
         state.effects.append(BurstReply(token, kind, reason, retry_ms))
@@ -494,6 +584,8 @@
         "callers": len(job.tokens),
         "failures": sum(task.failures for task in job.tasks),
         "attempts": job.attempt,
+        "priority": job.route.priority,
+        **terms,
     }
     state.effects.append(LogDecision("job ended", fields))
 
