--- a/tests/web/test_metrics_server.py
+++ b/tests/web/test_metrics_server.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sardineferry.decision.gauges import Gauge
 from sardineferry.loop import IoLoop
 from sardineferry.metrics_server import MetricsServer
 from sardineferry.web import HttpClient
@@ -50,3 +51,23 @@
     server = MetricsServer(loop, "127.0.0.1", Counter(), 0)
     server.start()
     assert scrape(loop, server, "POST").startswith("405 ")
+
+
+@pytest.mark.parametrize(
+    ("gauge", "line"),
+    [
+        (Gauge("age_ms", "age", "", {"": 20}), "sardineferry_age_ms 20.0"),
+        (
+            Gauge("work", "work", "priority", {"0": 5}),
+            'sardineferry_work{priority="0"} 5.0',
+        ),
+    ],
+)
+def test_gauges_are_read_for_each_page(loop: IoLoop, gauge: Gauge, line: str) -> None:
+    """A gauge that is read only once shows a state that is over."""
+    gauges = [gauge]
+    server = MetricsServer(loop, "127.0.0.1", Counter(), 0, lambda: gauges)
+    server.start()
+    assert line in scrape(loop, server)
+    gauges.clear()
+    assert line not in scrape(loop, server)
