Leave free capacity to more urgent work of other entries

Cause: entries with less urgent jobs take most of the capacity that gets free, as each knows only its own queue. Change: before an entry orders less urgent tasks of jobs that have not started, it subtracts the processors that the others' more urgent waiting work needs, at workers that those entries are linked to, the fastest first. The need follows from the mean duration of tasks of that priority.

--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -400,6 +400,7 @@
     max_wait_ms = int(admission.max_start_wait_ms(job.goal_ms, run_ms))
     job.latest_start_ms = arrived_ms + max_wait_ms
     state.jobs[event.job.job_id] = job
+    state.task_durations.add(route.priority, job.step.estimate_ms)
     record_caller(state, event, arrived_ms)
     state.queue.append(job)
     state.placement_due = True
--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -14,6 +14,7 @@
 from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.entry_state import AgentView
 from sardineferry.decision.burst.entry_state import PlacedRun
+from sardineferry.decision.burst.overload.left_capacity import leave_capacity
 from sardineferry.decision.burst.placement import Candidate
 from sardineferry.decision.burst.placement import is_capacity_scarce
 from sardineferry.decision.burst.placement import place_tasks
@@ -99,7 +100,8 @@
         preferred = preferred_agents(
             job, EligibleAgents(views, eligible.slowdowns), now_ms
         )
-        place_job_tasks(state, job, preferred, withheld_agents, now_ms)
+        with leave_capacity(state, job, preferred.views, now_ms):
+            place_job_tasks(state, job, preferred, withheld_agents, now_ms)
         if job.placeable_tasks():
             withheld_agents.update(view.name for view in preferred.views)
         elif not job.waiting_tasks():
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -18,6 +18,8 @@
 from sardineferry.decision.burst.other_runs import KnownOtherRuns
 from sardineferry.decision.burst.overload.backlog import KnownBacklog
 from sardineferry.decision.burst.overload.backlog import OwnStatement
+from sardineferry.decision.burst.overload.left_capacity import LeftCapacity
+from sardineferry.decision.burst.overload.left_capacity import TaskDurations
 from sardineferry.decision.burst.requests import ReplyKind
 from sardineferry.decision.burst.requests import SubmitJob
 from sardineferry.decision.burst.run_relay import RunRelay
@@ -463,9 +465,11 @@
         # The services whose routes have different priorities.
         self.services_with_priorities: frozenset[str] = frozenset()
         self.own_statement = OwnStatement()
+        self.task_durations = TaskDurations()
+        self.left_capacity = LeftCapacity()
         self.known_backlog = KnownBacklog()
-        # The entries and agents from which the shared parts were computed.
-        self.shared_parts_basis: tuple[object, object] = ((), ())
+        # The entries and agents from which the shared agents were computed.
+        self.shared_agents_basis: tuple[object, object] = ((), ())
         self.worker_slowdowns = WorkerSlowdowns()
         self.next_order = 1
         self.started_ms: int | None = None
--- a/src/sardineferry/decision/burst/overload/backlog.py
+++ b/src/sardineferry/decision/burst/overload/backlog.py
@@ -30,7 +30,7 @@
     "WaitingWork",
     "add_up_work",
     "find_services_with_priorities",
-    "find_shared_parts",
+    "find_shared_agents",
 ]
 
 # An entry echoes the timestamp of an idle agent after 400 ms, so a statement that is
@@ -74,23 +74,21 @@
     )
 
 
-def find_shared_parts(
-    own_name: str, entries: Iterable[EntryEndpoint], agents: Mapping[str, str]
-) -> dict[str, float]:
-    """Return the part of this entry's agents that each other entry is linked to, too.
+def find_shared_agents(
+    entries: Iterable[EntryEndpoint], agents: Mapping[str, str]
+) -> dict[str, set[str]]:
+    """Return which of this entry's agents each entry should be linked to.
 
     ``agents`` maps the names of the agents that are linked here to data centres. Which
     entries an agent links to follows from the names. Entries without a name are
     left out.
     """
     named = [entry for entry in entries if entry.name]
-    counts = dict.fromkeys((entry.name for entry in named), 0)
+    shared: dict[str, set[str]] = {entry.name: set() for entry in named}
     for agent, data_centre in agents.items():
         for name in select_entries(rank_entries(agent, named), data_centre, ()):
-            counts[name] += 1
-    return {
-        name: count / len(agents) for name, count in counts.items() if name != own_name
-    }
+            shared[name].add(agent)
+    return shared
 
 
 class OwnStatement:
@@ -124,9 +122,10 @@
     def __init__(self) -> None:
         """Create it without statements."""
         self.statements: dict[str, BacklogStatement] = {}
-        # The part of an entry's waiting work that competes for this entry's workers;
-        # all of it for an entry that is not listed.
-        self.shared_parts: dict[str, float] = {}
+        # Which of this entry's agents other entries are linked to, too. Only that part
+        # of their work competes for its workers; all of it if the entry isn't listed.
+        self.shared_agents: dict[str, set[str]] = {}
+        self.agent_count = 0
 
     def add(self, sent_ms: int, backlogs: Iterable[EntryBacklog]) -> None:
         """Add statements that an agent sent at ``sent_ms``; the newest one counts.
@@ -160,11 +159,32 @@
         for entry, statement in self.statements.items():
             if now_ms - statement.stated_ms > BACKLOG_VALID_MS:
                 continue
-            part = self.shared_parts.get(entry, 1.0)
+            part = self.shared_part(entry)
             for priority, work in statement.waiting:
                 sums[priority] = sums.get(priority, 0.0) + part * work
         return sums
 
+    def shared_part(self, entry: str) -> float:
+        """Return which part of this entry's agents another one is linked to."""
+        agents = self.shared_agents.get(entry)
+        if agents is None or not self.agent_count:
+            return 1.0
+        return len(agents) / self.agent_count
+
+    def shares(self, entry: str, agent: str) -> bool:
+        """Return whether another entry may be linked to an agent."""
+        agents = self.shared_agents.get(entry)
+        return agents is None or agent in agents
+
+    def entries_with_work(self, priority: int, now_ms: int) -> list[str]:
+        """Return the entries where more urgent work than of that priority waits."""
+        return [
+            entry
+            for entry, statement in self.statements.items()
+            if now_ms - statement.stated_ms <= BACKLOG_VALID_MS
+            and any(item.priority < priority for item in statement.waiting)
+        ]
+
     def work_ahead(self, priority: int, now_ms: int) -> float:
         """Return the work elsewhere of that priority or a more urgent one."""
         return sum(
--- a/src/sardineferry/decision/burst/overload/entry_backlog.py
+++ b/src/sardineferry/decision/burst/overload/entry_backlog.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sardineferry.decision.burst.overload.backlog import WaitingWork
-from sardineferry.decision.burst.overload.backlog import find_shared_parts
+from sardineferry.decision.burst.overload.backlog import find_shared_agents
 from sardineferry.decision.gauges import Gauge
 
 if TYPE_CHECKING:
@@ -38,20 +38,21 @@
     The agent's clock gives the time of each statement, so that a delay of the update
     adds to its age.
     """
-    refresh_shared_parts(state)
+    refresh_shared_agents(state)
     sent_ms = event.sent_at_ms - view.clock_offset_ms
     state.known_backlog.add(sent_ms, event.backlogs)
     state.counters["backlogs_learned"] += len(event.backlogs)
 
 
-def refresh_shared_parts(state: BurstEntryState) -> None:
+def refresh_shared_agents(state: BurstEntryState) -> None:
     """Find out anew which agents are shared, if entries or agents have changed."""
     basis = (state.known_entries, tuple(state.agents))
-    if basis != state.shared_parts_basis:
-        state.shared_parts_basis = basis
+    if basis != state.shared_agents_basis:
+        state.shared_agents_basis = basis
         agents = {view.name: view.data_centre for view in state.agents.values()}
-        state.known_backlog.shared_parts = find_shared_parts(
-            state.name, state.known_entries, agents
+        state.known_backlog.agent_count = len(agents)
+        state.known_backlog.shared_agents = find_shared_agents(
+            state.known_entries, agents
         )
 
 
--- a/tests/decision/burst/test_shared_backlog.py
+++ b/tests/decision/burst/test_shared_backlog.py
@@ -14,7 +14,7 @@
 from sardineferry.decision.burst.overload.backlog import BACKLOG_VALID_MS
 from sardineferry.decision.burst.overload.backlog import KnownBacklog
 from sardineferry.decision.burst.overload.backlog import find_services_with_priorities
-from sardineferry.decision.burst.overload.backlog import find_shared_parts
+from sardineferry.decision.burst.overload.backlog import find_shared_agents
 from sardineferry.decision.burst.overload.entry_backlog import read_backlog_gauges
 from sardineferry.decision.burst.requests import ConfigurationRead
 from sardineferry.decision.burst.requests import ReplyKind
@@ -127,11 +127,14 @@
         for name, data_centre in (("e", "x"), ("f", "x"), ("g", "y"))
     ]
     agents = {"a": "x", "b": "x", "c": "y", "d": "y"}
-    parts = find_shared_parts("e", entries, agents)
-    assert parts["g"] == 1.0
-    assert 0.5 <= parts["f"] <= 1.0
+    shared = find_shared_agents(entries, agents)
+    assert shared["g"] == set("abcd")
+    # Each agent of y links to one of e and f.
+    assert shared["e"] | shared["f"] == set("abcd")
+    assert shared["e"] & shared["f"] == set("ab")
     known = KnownBacklog()
-    known.shared_parts = {"f": 0.5}
+    known.shared_agents = {"f": set("ab")}
+    known.agent_count = 4
     known.add(NOW_MS, [EntryBacklog("f", 0, MORE), EntryBacklog("g", 0, MORE)])
     assert known.work_ahead(1, NOW_MS) == 750
 
