Log the forecast on which a refusal rests instead of another one

The line now shows the terms of the forecast that caused the refusal, and none if it had another reason.

--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -32,13 +32,16 @@
     from sardineferry.decision.burst.requests import BurstJob
 
 __all__ = [
+    "ForecastTerms",
     "admit_early_jobs",
+    "estimate_own_rate",
     "expire_callers",
     "expire_waiting_jobs",
     "find_job",
     "finish_all_jobs",
     "finish_job",
     "finish_job_if_done",
+    "forecast_start_wait_ms",
     "hold_job",
     "stop_job_runs",
 ]
@@ -139,10 +142,12 @@
         done_ms = now_ms - state.other_runs.done[event.job.job_id].since_ms
         answer_ended_job(state, event, ReplyKind.COMPLETED, done_ms)
         return
+    state.latest_forecast = None
     refusal = find_refusal(state, event, route, now_ms)
     if refusal is not None:
         refuse_job(state, event, *refusal, now_ms)
         return
+    state.latest_forecast = None
     admit_job(state, event, route, arrived_ms)
 
 
@@ -279,7 +284,9 @@
     latest start does not matter for more urgent work. By default all counts. The work
     of other entries counts as far as it is known.
     """
-    return forecast_terms(state, now_ms, latest_start_ms, priority).wait_ms()
+    terms = forecast_terms(state, now_ms, latest_start_ms, priority)
+    state.latest_forecast = terms
+    return terms.wait_ms()
 
 
 def forecast_terms(
@@ -365,6 +372,7 @@
     may_run = earlier.may_have_run or state.other_runs.has_run(job_id)
     kind = ReplyKind.NO_ANSWER if may_run else ReplyKind.NOT_RUN
     state.counters["jobs_refused"] += 1
+    forecast, state.latest_forecast = state.latest_forecast, None
     route = state.route_table.match(event.host, event.path)
     fields: dict[str, object] = {
         "job": job_id,
@@ -378,7 +386,7 @@
         ),
         "config_version": state.configuration.version,
         "priority": None if route is None else route.priority,
-        **forecast_terms(state, now_ms).log_fields(),
+        **({} if forecast is None else forecast.log_fields()),
     }
     state.effects.append(LogDecision("job refused", fields))
     state.effects.append(BurstReply(event.token, kind, reason, retry_after_ms))
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -38,6 +38,7 @@
     from sardineferry.decision.burst.configuration import Configuration
     from sardineferry.decision.burst.configuration import Route
     from sardineferry.decision.burst.effects import BurstEffect
+    from sardineferry.decision.burst.entry_callers import ForecastTerms
     from sardineferry.decision.burst.requests import BurstJob
     from sardineferry.decision.burst.requests import BurstStep
     from sardineferry.messages.burst import EntryEndpoint
@@ -465,6 +466,8 @@
         # The services whose routes have different priorities.
         self.services_with_priorities: frozenset[str] = frozenset()
         self.own_statement = OwnStatement()
+        # The forecast for the job on which is being decided, for the log.
+        self.latest_forecast: ForecastTerms | None = None
         self.task_durations = TaskDurations()
         self.left_capacity = LeftCapacity()
         self.known_backlog = KnownBacklog()
--- a/tests/decision/burst/test_shared_backlog.py
+++ b/tests/decision/burst/test_shared_backlog.py
@@ -233,6 +233,10 @@
     (fields,) = logged(effects, "job refused")
     assert fields["priority"] == 0
     assert (fields["own_work"], fields["others_work"]) == (0, 100_000_000)
+    # A refusal for another reason rests on no forecast.
+    unsupported = submit(2, job(2, unsupported="x"))
+    (fields,) = logged(entry.handle(unsupported), "job refused")
+    assert "others_work" not in fields
     waiting, age = read_backlog_gauges(entry.state, entry.now_ms)
     assert waiting.values == {"0": 100_000_000}
     assert age.values == {"": 20}
