--- a/src/sardineferry/decision/burst/configuration.py
+++ b/src/sardineferry/decision/burst/configuration.py
@@ -17,7 +17,8 @@
     A job fails when ``attempts`` runs of one of its tasks have failed. Its
     response-time goal is ``slack_factor`` times a task's work plus ``goal_ms``.
     Jobs of a route that ``needs_advice`` are refused, as advisors are not supported.
-    ``timeout_ms`` and ``priority`` (0 is the highest) have no effect.
+    ``priority`` (0 is the highest) has an effect only in services whose routes have
+    different ones. ``timeout_ms`` has none.
     """
 
     name: str
