Merge branch 'backlog': the backlog shared between entries

Both branches added gauges to the metrics page. The type of the backlog's gauges stays; those of evacuations use it, and processes pass one function that returns all of theirs.

--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -17,6 +17,10 @@
 from sardineferry.decision.burst.configuration import RouteTable
 from sardineferry.decision.burst.evacuation import EvacuationRelay
 from sardineferry.decision.burst.other_runs import KnownOtherRuns
+from sardineferry.decision.burst.overload.backlog import KnownBacklog
+from sardineferry.decision.burst.overload.backlog import OwnStatement
+from sardineferry.decision.burst.overload.left_capacity import LeftCapacity
+from sardineferry.decision.burst.overload.left_capacity import TaskDurations
 from sardineferry.decision.burst.requests import ReplyKind
 from sardineferry.decision.burst.requests import SubmitJob
 from sardineferry.decision.burst.run_relay import RunRelay
@@ -35,6 +39,7 @@
     from sardineferry.decision.burst.configuration import Configuration
     from sardineferry.decision.burst.configuration import Route
     from sardineferry.decision.burst.effects import BurstEffect
+    from sardineferry.decision.burst.entry_callers import ForecastTerms
     from sardineferry.decision.burst.requests import BurstJob
     from sardineferry.decision.burst.requests import BurstStep
     from sardineferry.messages.burst import EntryEndpoint
@@ -471,6 +476,16 @@
         self.ended_jobs: OrderedDict[str, EndedJob] = OrderedDict()
         # The latest jobs that were cancelled here, with the times.
         self.cancellations: deque[tuple[int, str]] = deque(maxlen=MAX_CANCELLATIONS)
+        # The services whose routes have different priorities.
+        self.services_with_priorities: frozenset[str] = frozenset()
+        self.own_statement = OwnStatement()
+        # The forecast for the job on which is being decided, for the log.
+        self.latest_forecast: ForecastTerms | None = None
+        self.task_durations = TaskDurations()
+        self.left_capacity = LeftCapacity()
+        self.known_backlog = KnownBacklog()
+        # The entries and agents from which the shared agents were computed.
+        self.shared_agents_basis: tuple[object, object] = ((), ())
         self.worker_slowdowns = WorkerSlowdowns()
         self.next_order = 1
         self.started_ms: int | None = None
--- a/src/sardineferry/deployment/entry.py
+++ b/src/sardineferry/deployment/entry.py
@@ -11,6 +11,7 @@
 from sardineferry.clock import now_ms
 from sardineferry.decision.burst.entry import BurstEntryCore
 from sardineferry.decision.burst.entry import BurstEntryState
+from sardineferry.decision.burst.overload.entry_backlog import read_backlog_gauges
 from sardineferry.deployment.common_parts import build_common_parts
 from sardineferry.incarnation import new_incarnation
 from sardineferry.messages.burst import CODEC
@@ -97,8 +98,6 @@
     caller_limits = HttpLimits(
         connections=max_caller_connections(settings.memory_mb, settings.descriptors)
     )
-    metrics_server = MetricsServer(loop, settings.ip, state.counters, metrics_port)
-    metrics_server.gauge_sources.append(evacuation_gauges(state.evacuation, now_ms))
     parts = EntryParts(
         loop=loop,
         core=BurstEntryCore(state),
@@ -120,7 +119,16 @@
             common.entries_watch,
             entry_registration(loop, common.store, endpoint),
         ),
-        metrics_server=metrics_server,
+        metrics_server=MetricsServer(
+            loop,
+            settings.ip,
+            state.counters,
+            metrics_port,
+            lambda: (
+                *evacuation_gauges(state.evacuation, now_ms()),
+                *read_backlog_gauges(state, now_ms()),
+            ),
+        ),
         log=common.log,
         settings_watch=common.settings_watch,
     )
--- a/src/sardineferry/metrics_page.py
+++ b/src/sardineferry/metrics_page.py
@@ -21,11 +21,9 @@
 
     from prometheus_client import Metric
 
-    from sardineferry.gauges import Gauge
+    from sardineferry.decision.gauges import Gauge
     from sardineferry.latencies import LatencyHistograms
 
-    GaugeSource = Callable[[], Iterable[Gauge]]
-
 __all__ = ["MetricsPage"]
 
 MS_PER_S = 1_000
@@ -38,12 +36,12 @@
         self,
         counters: Counter[str],
         latencies: LatencyHistograms,
-        gauge_sources: Iterable[GaugeSource],
+        read_gauges: Callable[[], Iterable[Gauge]],
     ) -> None:
         """Use the tables that the loop's thread keeps updating."""
         self.counters = counters
         self.latencies = latencies
-        self.gauge_sources = gauge_sources
+        self.read_gauges = read_gauges
 
     def collect(self) -> Iterator[Metric]:
         """Yield all metrics with their current values."""
@@ -51,26 +49,19 @@
             yield CounterMetricFamily(
                 f"sardineferry_{name}", name.replace("_", " "), value=value
             )
-        yield from self.gauges()
+        for gauge in self.read_gauges():
+            yield self.gauge_family(gauge)
         yield self.latency_histogram()
 
-    def gauges(self) -> Iterator[Metric]:
-        """Yield all gauges, those of one name as one metric."""
-        families: dict[str, GaugeMetricFamily] = {}
-        for gauge in itertools.chain.from_iterable(
-            collect() for collect in self.gauge_sources
-        ):
-            names = [label for label, _ in gauge.labels]
-            family = families.setdefault(
-                gauge.name,
-                GaugeMetricFamily(
-                    f"sardineferry_{gauge.name}",
-                    gauge.name.replace("_", " "),
-                    labels=names,
-                ),
-            )
-            family.add_metric([value for _, value in gauge.labels], gauge.value)
-        yield from families.values()
+    def gauge_family(self, gauge: Gauge) -> Metric:
+        """Return a gauge with its current values."""
+        labels = [gauge.label] if gauge.label else []
+        family = GaugeMetricFamily(
+            f"sardineferry_{gauge.name}", gauge.description, labels=labels
+        )
+        for label_value, value in sorted(gauge.values.items()):
+            family.add_metric([label_value] if labels else [], value)
+        return family
 
     def latency_histogram(self) -> Metric:
         """Return the latencies as a histogram with cumulative buckets."""
@@ -94,11 +85,11 @@
         self,
         counters: Counter[str],
         latencies: LatencyHistograms,
-        gauge_sources: Iterable[GaugeSource] = (),
+        read_gauges: Callable[[], Iterable[Gauge]] = tuple,
     ) -> None:
         """Register the counters, the gauges and the latencies."""
         self.registry = CollectorRegistry()
-        self.registry.register(ProcessCollector(counters, latencies, gauge_sources))
+        self.registry.register(ProcessCollector(counters, latencies, read_gauges))
 
     def text(self) -> bytes:
         """Return all metrics with their current values."""
