Serve burst jobs by priority where the routes of a service differ

Cause: a job could wait behind, or be refused for, less urgent jobs that had not started. Change: place_waiting_tasks orders by priority and latest start and withholds agents only from jobs of the same or a lower priority. Jobs that can't start in time by the forecast are refused on arrival or at the next tick, least urgent first, latest arrivals first. Counters and log lines have the priority and the terms of the forecast. Services whose routes have one priority are served as before.

--- a/src/sardineferry/decision/burst/configuration.py
+++ b/src/sardineferry/decision/burst/configuration.py
@@ -5,8 +5,10 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from sardineferry.decision.burst.overload.order import find_prioritised_services
+
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Sequence
 
 __all__ = ["NO_CONFIGURATION", "Configuration", "EdgeLimits", "Route", "RouteTable"]
 
@@ -17,7 +19,8 @@
     A job fails when ``attempts`` runs of one of its tasks have failed. Its
     response-time goal is ``slack_factor`` times a task's work plus ``goal_ms``.
     Jobs of a route that ``needs_advice`` are refused, as advisors are not supported.
-    ``timeout_ms`` and ``priority`` (0 is the highest) have no effect.
+    ``priority`` (0 is the most urgent) has an effect if the routes of the service have
+    different ones. ``timeout_ms`` has none.
     """
 
     name: str
@@ -56,8 +59,10 @@
 class RouteTable:
     """Finds routes; a look-up costs a few steps, however many routes there are."""
 
-    def __init__(self, routes: Iterable[Route]) -> None:
+    def __init__(self, routes: Sequence[Route]) -> None:
         """Index the routes by host and path prefix; of equal ones the first counts."""
+        # The most urgent priority of each service whose routes have different ones.
+        self.prioritised_services = find_prioritised_services(routes)
         self.routes: dict[str, dict[str, Route]] = {}
         # The lengths of each host's prefixes, in descending order.
         self.prefix_lengths: dict[str, list[int]] = {}
--- a/src/sardineferry/decision/burst/entry.py
+++ b/src/sardineferry/decision/burst/entry.py
@@ -131,7 +131,8 @@
         busy = state.jobs or state.early_jobs or state.drain_started_ms is not None
         interval_ms = BUSY_TICK_INTERVAL_MS if busy else IDLE_TICK_INTERVAL_MS
         relay_due_ms = state.run_relay.next_due_ms()
-        return max(1, min(interval_ms, relay_due_ms - self.now_ms))
+        due_ms = min(relay_due_ms, state.next_refusal_ms)
+        return int(max(1, min(interval_ms, due_ms - self.now_ms)))
 
     def take_effects(self) -> list[BurstEffect]:
         """Return and clear the collected effects."""
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from sardineferry.decision.burst import admission
@@ -9,12 +10,20 @@
 from sardineferry.decision.burst.effects import ObserveLatency
 from sardineferry.decision.burst.entry_dispatch import handle_entry_event
 from sardineferry.decision.burst.entry_placement import can_receive_orders
+from sardineferry.decision.burst.entry_placement import can_run_job
 from sardineferry.decision.burst.entry_state import UNKNOWN_JOB
 from sardineferry.decision.burst.entry_state import ActiveJob
 from sardineferry.decision.burst.entry_state import EarlyJob
 from sardineferry.decision.burst.entry_state import EndedJob
 from sardineferry.decision.burst.entry_state import response_time_goal_ms
 from sardineferry.decision.burst.link_selection import count_links_per_agent
+from sardineferry.decision.burst.overload import ForecastTerms
+from sardineferry.decision.burst.overload import WaitingJob
+from sardineferry.decision.burst.overload import find_jobs_to_give_up
+from sardineferry.decision.burst.overload import is_served_before
+from sardineferry.decision.burst.overload import jittered_retry_after_ms
+from sardineferry.decision.burst.overload import max_decision_wait_ms
+from sardineferry.decision.burst.overload import refusal_counter
 from sardineferry.decision.burst.requests import BurstReply
 from sardineferry.decision.burst.requests import CallerLeft
 from sardineferry.decision.burst.requests import ReplyKind
@@ -25,6 +34,8 @@
 from sardineferry.messages.burst import StopRuns
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from sardineferry.decision.burst.configuration import Route
     from sardineferry.decision.burst.entry_state import ActiveTask
     from sardineferry.decision.burst.entry_state import BurstEntryState
@@ -140,7 +151,7 @@
     if refusal is not None:
         refuse_job(state, event, *refusal, now_ms)
         return
-    admit_job(state, event, route, arrived_ms)
+    admit_job(state, event, route, arrived_ms, now_ms)
 
 
 def is_done_elsewhere(state: BurstEntryState, job: BurstJob) -> bool:
@@ -212,26 +223,139 @@
     # A job that another entry runs waits for the ends of these runs, not for capacity.
     if discovering or event.job.job_id in state.other_runs:
         return None
+    if is_prioritised(state, route):
+        if can_be_overtaken(state, route):
+            max_wait_ms = max_decision_wait_ms(goal_ms, max_wait_ms)
+        return find_overload_refusal(state, event, route, int(max_wait_ms), now_ms)
     wait_ms = forecast_start_wait_ms(state, now_ms, now_ms + max_wait_ms)
     if wait_ms > max_wait_ms:
         return (f"forecast wait {wait_ms:.0f} ms", admission.retry_after_ms(wait_ms))
     return None
 
 
+def is_prioritised(state: BurstEntryState, route: Route) -> bool:
+    """Return whether the routes of the service have different priorities."""
+    return route.service in state.route_table.prioritised_services
+
+
+def can_be_overtaken(state: BurstEntryState, route: Route) -> bool:
+    """Return whether the service has a more urgent route."""
+    services = state.route_table.prioritised_services
+    return route.priority > services.get(route.service, route.priority)
+
+
+def find_overload_refusal(
+    state: BurstEntryState,
+    event: SubmitJob,
+    route: Route,
+    max_wait_ms: int,
+    now_ms: int,
+) -> tuple[str, int] | None:
+    """Return why a job of a service with priorities is refused, or None to admit it.
+
+    It is refused if it can't start in time, or if jobs of its priority that were
+    admitted before could not. Less urgent ones may be given up for it.
+    """
+    step = event.job.steps[0]
+    latest_start_ms = now_ms + max_wait_ms
+    work = step.tasks * step.need.cpu * step.estimate_ms
+    arriving = WaitingJob(
+        event.job.job_id, route.priority, now_ms, latest_start_ms, work
+    )
+    if arriving not in find_unstartable_jobs(state, route.service, now_ms, [arriving]):
+        return None
+    if has_free_worker(state, event.job, route, now_ms):
+        return None
+    own_work = own_work_ahead(state, route.priority, latest_start_ms)
+    wait_ms = forecast_terms(state, route.priority, now_ms).wait_ms(own_work)
+    reason = (
+        f"forecast wait {wait_ms:.0f} ms"
+        if wait_ms > max_wait_ms
+        else "forecast wait of earlier jobs"
+    )
+    return (reason, jittered_retry_after_ms(wait_ms, state.random))
+
+
+def find_unstartable_jobs(
+    state: BurstEntryState,
+    service: str,
+    now_ms: int,
+    arriving: Iterable[WaitingJob] = (),
+) -> list[WaitingJob]:
+    """Return the jobs of a service to give up, so that all others start in time.
+
+    ``arriving`` jobs are not in the queue yet.
+    """
+    waiting = [job.waiting_job() for job in state.queue if job.route.service == service]
+    return find_jobs_to_give_up(
+        [*waiting, *arriving],
+        lambda priority: forecast_terms(state, priority, now_ms),
+        now_ms,
+    )
+
+
+def own_work_ahead(
+    state: BurstEntryState, priority: int | None, latest_start_ms: float
+) -> float:
+    """Return the waiting work of this entry that is served before such a job."""
+    return sum(
+        job.waiting_work()
+        for job in state.queue
+        if is_served_before(
+            job.waiting_job(),
+            job.priority if priority is None else priority,
+            latest_start_ms,
+        )
+    )
+
+
+def forecast_terms(state: BurstEntryState, priority: int, now_ms: int) -> ForecastTerms:
+    """Return the terms of the forecast for jobs of a priority."""
+    own_rate = estimate_own_rate(state, now_ms)
+    urgent_rate = state.arrival_rates.rate_before(priority, now_ms)
+    urgent_share = urgent_rate / own_rate if own_rate > 0 else 0.0
+    backlog = state.known_backlog
+    if backlog is None or not backlog.is_known(now_ms):
+        return ForecastTerms(0.0, own_rate, urgent_share)
+    other_work = backlog.work_ahead(priority, now_ms)
+    return ForecastTerms(other_work, sum_usable_rate(state, now_ms), urgent_share)
+
+
+def sum_usable_rate(state: BurstEntryState, now_ms: int) -> float:
+    """Return the work per ms of all workers to which this entry may send orders."""
+    return sum(
+        view.profile.total.cpu / state.worker_slowdowns.slowdown(view.name, view.kind())
+        for view in state.agents.values()
+        if view.profile is not None and can_receive_orders(state, view, now_ms)
+    )
+
+
+def has_free_worker(
+    state: BurstEntryState, job: BurstJob, route: Route, now_ms: int
+) -> bool:
+    """Return whether a worker that suits the job is known to have capacity for it."""
+    return any(
+        view.available.covers(job.steps[0].need)
+        and can_run_job(view, job, route)
+        and can_receive_orders(state, view, now_ms)
+        for view in state.agents.values()
+    )
+
+
 def forecast_start_wait_ms(
-    state: BurstEntryState, now_ms: int, latest_start_ms: float = 1e18
+    state: BurstEntryState,
+    now_ms: int,
+    latest_start_ms: float = math.inf,
+    priority: int | None = None,
 ) -> float:
     """Return how long a job that arrives now would wait for its start.
 
     Only queued jobs that have started, or whose latest start is not after
     ``latest_start_ms``, count: they are placed before a job with this latest start.
-    By default all count.
+    With a ``priority``, all more urgent jobs count, and no less urgent ones that have
+    not started. By default all count.
     """
-    work_ahead = sum(
-        job.waiting_work()
-        for job in state.queue
-        if job.started or job.latest_start_ms <= latest_start_ms
-    )
+    work_ahead = own_work_ahead(state, priority, latest_start_ms)
     if work_ahead <= 0:
         return 0.0
     return admission.forecast_wait_ms(work_ahead, estimate_own_rate(state, now_ms))
@@ -281,6 +405,11 @@
     may_run = earlier.may_have_run or state.other_runs.has_run(job_id)
     kind = ReplyKind.NO_ANSWER if may_run else ReplyKind.NOT_RUN
     state.counters["jobs_refused"] += 1
+    route = state.route_table.match(event.host, event.path)
+    terms: dict[str, object] = {}
+    if route is not None and is_prioritised(state, route):
+        state.counters[refusal_counter("refused", route.priority, reason)] += 1
+        terms = describe_forecast(state, route.priority, now_ms)
     fields: dict[str, object] = {
         "job": job_id,
         "reason": reason,
@@ -292,30 +421,62 @@
             if can_receive_orders(state, view, now_ms)
         ),
         "config_version": state.configuration.version,
+        **terms,
     }
     state.effects.append(LogDecision("job refused", fields))
     state.effects.append(BurstReply(event.token, kind, reason, retry_after_ms))
 
 
+def describe_forecast(
+    state: BurstEntryState, priority: int, now_ms: int
+) -> dict[str, object]:
+    """Return a priority and the terms of its forecast as fields of a log line."""
+    own_work = own_work_ahead(state, priority, math.inf)
+    terms = forecast_terms(state, priority, now_ms)
+    return {
+        "priority": priority,
+        "own_work_ahead": int(own_work),
+        "other_work_ahead": int(terms.other_work),
+        "rate": int(terms.rate),
+        "urgent_share": round(terms.urgent_share, 2),
+        "forecast_wait_ms": int(terms.wait_ms(own_work)),
+    }
+
+
 def admit_job(
-    state: BurstEntryState, event: SubmitJob, route: Route, arrived_ms: int
+    state: BurstEntryState,
+    event: SubmitJob,
+    route: Route,
+    arrived_ms: int,
+    now_ms: int,
 ) -> None:
     """Queue a job with its response-time goal and latest start time.
 
     Tasks that other entries have run before are done.
     """
     earlier = state.ended_jobs.get(event.job.job_id, UNKNOWN_JOB)
-    job = ActiveJob(event.job, route, event.token, arrived_ms, earlier)
+    job = ActiveJob(
+        event.job,
+        route,
+        event.token,
+        arrived_ms,
+        earlier,
+        is_prioritised=is_prioritised(state, route),
+    )
     if earlier.attempt:
         state.count_earlier_runs(job)
     job.may_be_copy = job.may_be_copy or state.may_be_copy(job.job.job_id, arrived_ms)
     run_ms = job.step.estimate_ms * state.worker_slowdowns.typical_slowdown()
     max_wait_ms = int(admission.max_start_wait_ms(job.goal_ms, run_ms))
+    if can_be_overtaken(state, route):
+        max_wait_ms = int(max_decision_wait_ms(job.goal_ms, max_wait_ms))
     job.latest_start_ms = arrived_ms + max_wait_ms
     state.jobs[event.job.job_id] = job
     record_caller(state, event, arrived_ms)
     state.queue.append(job)
     state.placement_due = True
+    if job.is_prioritised:
+        state.arrival_rates.add(job.priority, job.waiting_work(), now_ms)
     state.counters["jobs_admitted"] += 1
     fields: dict[str, object] = {
         "job": event.job.job_id,
@@ -478,7 +639,14 @@
     stop_job_runs(state, job)
     state.counters[f"jobs_{kind.value.replace(' ', '_')}"] += 1
     retry_ms = 0
-    if kind is ReplyKind.NOT_RUN:
+    terms: dict[str, object] = {"priority": job.priority} if job.is_prioritised else {}
+    if kind is ReplyKind.NOT_RUN and job.is_prioritised:
+        own_work = own_work_ahead(state, job.priority, math.inf)
+        wait_ms = forecast_terms(state, job.priority, now_ms).wait_ms(own_work)
+        retry_ms = jittered_retry_after_ms(wait_ms, state.random)
+        state.counters[refusal_counter("given_up", job.priority, reason)] += 1
+        terms = describe_forecast(state, job.priority, now_ms)
+    elif kind is ReplyKind.NOT_RUN:
         retry_ms = admission.retry_after_ms(forecast_start_wait_ms(state, now_ms))
     for token in sorted(job.tokens):
         forget_caller(state, token)
@@ -494,6 +662,7 @@
         "callers": len(job.tokens),
         "failures": sum(task.failures for task in job.tasks),
         "attempts": job.attempt,
+        **terms,
     }
     state.effects.append(LogDecision("job ended", fields))
 
@@ -537,7 +706,8 @@
     retry, or for their first run if not all tasks fitted at once. Both may wait longer,
     for ``ABANDON_AFTER_GOALS`` times their response-time goal. Their callers then get
     no answer, as other tasks may have run. A job that waits for the configuration is
-    refused after ``MAX_CONFIGURATION_WAIT_MS``.
+    refused after ``MAX_CONFIGURATION_WAIT_MS``. Jobs of services with priorities are
+    refused as soon as the forecast says that they can't start in time.
     """
     refuse_early_jobs(state, MAX_CONFIGURATION_WAIT_MS, "no configuration yet", now_ms)
     for job in list(state.queue):
@@ -547,6 +717,31 @@
         elif may_wait and now_ms > job.arrived_ms + ABANDON_AFTER_GOALS * job.goal_ms:
             reason = "held too long" if job.is_held else "no room for a repeat"
             finish_job(state, job, ReplyKind.NO_ANSWER, reason, now_ms)
+    give_up_unstartable_jobs(state, now_ms)
+    state.next_refusal_ms = min(
+        (
+            job.latest_start_ms + 1
+            for job in state.queue
+            if job.waiting_job().may_be_given_up
+        ),
+        default=math.inf,
+    )
+
+
+def give_up_unstartable_jobs(state: BurstEntryState, now_ms: int) -> None:
+    """Refuse queued jobs of services with priorities that can't start in time.
+
+    A job for which a worker has capacity is about to be placed.
+    """
+    if state.is_discovering_workers(now_ms):
+        return
+    services = {job.route.service for job in state.queue if job.is_prioritised}
+    for service in sorted(services):
+        for unstartable in find_unstartable_jobs(state, service, now_ms):
+            job = state.jobs[unstartable.job_id]
+            if not has_free_worker(state, job.job, job.route, now_ms):
+                reason = "forecast start too late"
+                finish_job(state, job, ReplyKind.NOT_RUN, reason, now_ms)
 
 
 def finish_all_jobs(state: BurstEntryState, now_ms: int) -> None:
--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -1,8 +1,9 @@
 """Assigns waiting tasks to agents.
 
-Jobs are placed by latest start time, started ones before all others. A job that does
-not fit takes the capacity that is free, and the workers that it waits for are withheld
-from later jobs. Otherwise jobs with few tasks would starve jobs with many.
+Jobs are placed by priority and latest start time, started ones before all others. A job
+that does not fit takes the capacity that is free, and the workers that it waits for are
+withheld from later jobs, but not from more urgent ones. Otherwise jobs with few tasks
+would starve jobs with many.
 """
 
 from __future__ import annotations
@@ -14,6 +15,8 @@
 from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.entry_state import AgentView
 from sardineferry.decision.burst.entry_state import PlacedRun
+from sardineferry.decision.burst.overload import WithheldAgents
+from sardineferry.decision.burst.overload import service_order
 from sardineferry.decision.burst.placement import Candidate
 from sardineferry.decision.burst.placement import is_capacity_scarce
 from sardineferry.decision.burst.placement import place_tasks
@@ -23,11 +26,13 @@
 from sardineferry.messages.burst import WatchRoom
 
 if TYPE_CHECKING:
+    from sardineferry.decision.burst.configuration import Route
     from sardineferry.decision.burst.entry_state import ActiveJob
     from sardineferry.decision.burst.entry_state import ActiveTask
     from sardineferry.decision.burst.entry_state import BurstEntryState
+    from sardineferry.decision.burst.requests import BurstJob
 
-__all__ = ["can_receive_orders", "place_waiting_tasks"]
+__all__ = ["can_receive_orders", "can_run_job", "place_waiting_tasks"]
 
 # Free capacity is assumed to be unchanged for this long after the agent's latest
 # timestamp arrived. An agent that sends frequent capacity updates to three entries
@@ -89,19 +94,30 @@
     with_capacity = {
         view.name for view in eligible.views if view.available.cpu >= max(1, min_cpu)
     }
-    state.queue.sort(key=lambda job: (not job.started, job.latest_start_ms))
-    withheld_agents: set[str] = set()
+    state.queue.sort(
+        key=lambda job: service_order(job.started, job.priority, job.latest_start_ms)
+    )
+    withheld_agents = WithheldAgents()
     for job in list(state.queue):
-        # No worker with free capacity is left for this or a later job.
-        if with_capacity <= withheld_agents:
+        # No worker with free capacity is left for this job.
+        if withheld_agents.are_withheld(with_capacity, job.priority):
+            # Later jobs may be more urgent than a started one, but no others.
+            if job.started:
+                continue
             break
-        views = [view for view in eligible.views if can_run_job(view, job)]
+        if job.is_too_late_to_start(now_ms):
+            continue
+        views = [
+            view for view in eligible.views if can_run_job(view, job.job, job.route)
+        ]
         preferred = preferred_agents(
             job, EligibleAgents(views, eligible.slowdowns), now_ms
         )
         place_job_tasks(state, job, preferred, withheld_agents, now_ms)
         if job.placeable_tasks():
-            withheld_agents.update(view.name for view in preferred.views)
+            withheld_agents.withhold(
+                (view.name for view in preferred.views), job.priority
+            )
         elif not job.waiting_tasks():
             state.queue.remove(job)
     if state.queue:
@@ -120,12 +136,12 @@
             state.effects.append(Send(view.name, WatchRoom()))
 
 
-def can_run_job(view: AgentView, job: ActiveJob) -> bool:
+def can_run_job(view: AgentView, job: BurstJob, route: Route) -> bool:
     """Return whether a worker has the job's service and its required label."""
-    label = job.step.required_label
+    label = job.steps[0].required_label
     return (
         view.profile is not None
-        and view.profile.service == job.route.service
+        and view.profile.service == route.service
         and (not label or label in view.profile.labels)
     )
 
@@ -155,7 +171,7 @@
     state: BurstEntryState,
     job: ActiveJob,
     eligible: EligibleAgents,
-    withheld_agents: set[str],
+    withheld_agents: WithheldAgents,
     now_ms: int,
 ) -> None:
     """Place as many tasks of a job as fit at agents that are not withheld from it.
@@ -180,7 +196,8 @@
                 state, job, view, eligible.slowdowns[view.name], avoided_agents, now_ms
             )
             for view in eligible.views
-            if view.name not in withheld_agents and view.available.covers(step.need)
+            if view.available.covers(step.need)
+            and not withheld_agents.is_withheld(view.name, job.priority)
         ]
         candidates = rank_candidates(found, scarce, state.random)
         remaining = tasks
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections import OrderedDict
 from collections import deque
@@ -16,6 +17,8 @@
 from sardineferry.decision.burst.configuration import NO_CONFIGURATION
 from sardineferry.decision.burst.configuration import RouteTable
 from sardineferry.decision.burst.other_runs import KnownOtherRuns
+from sardineferry.decision.burst.overload import ArrivalRates
+from sardineferry.decision.burst.overload import WaitingJob
 from sardineferry.decision.burst.requests import ReplyKind
 from sardineferry.decision.burst.requests import SubmitJob
 from sardineferry.decision.burst.run_relay import RunRelay
@@ -34,6 +37,7 @@
     from sardineferry.decision.burst.configuration import Configuration
     from sardineferry.decision.burst.configuration import Route
     from sardineferry.decision.burst.effects import BurstEffect
+    from sardineferry.decision.burst.overload import OtherBacklog
     from sardineferry.decision.burst.requests import BurstJob
     from sardineferry.decision.burst.requests import BurstStep
     from sardineferry.messages.burst import EntryEndpoint
@@ -184,8 +188,13 @@
         token: int,
         now_ms: int,
         earlier: EndedJob,
+        *,
+        is_prioritised: bool = False,
     ) -> None:
-        """Create the job with all tasks waiting; ``earlier`` is its last submission."""
+        """Create the job with all tasks waiting; ``earlier`` is its last submission.
+
+        ``is_prioritised`` is true if the service's routes have different priorities.
+        """
         self.job = job
         self.route = route
         self.tokens = {token}
@@ -194,6 +203,9 @@
         self.earlier_attempt = earlier.attempt
         self.goal_ms = response_time_goal_ms(route, self.step.estimate_ms)
         self.latest_start_ms = 0
+        self.is_prioritised = is_prioritised
+        # Jobs of other services are served as equally urgent.
+        self.priority = route.priority if is_prioritised else 0
         self.tasks = [
             ActiveTask(index, earlier.attempt) for index in range(self.step.tasks)
         ]
@@ -273,6 +285,29 @@
         step = self.step
         return len(self.waiting_tasks()) * step.need.cpu * step.estimate_ms
 
+    def is_too_late_to_start(self, now_ms: int) -> bool:
+        """Return whether the job has not started and can't end in time any more.
+
+        It is refused with the next tick. Jobs of services without different
+        priorities are started until then.
+        """
+        return (
+            self.is_prioritised and now_ms > self.latest_start_ms and not self.started
+        )
+
+    def waiting_job(self) -> WaitingJob:
+        """Return what the order of service and shedding depend on."""
+        started = self.started
+        return WaitingJob(
+            self.job.job_id,
+            self.priority,
+            self.arrived_ms,
+            self.latest_start_ms,
+            self.waiting_work(),
+            started,
+            self.is_prioritised and not started and not self.is_held,
+        )
+
     def run_ref(self, task: ActiveTask) -> RunRef:
         """Return the reference to the current run of a task."""
         return RunRef(f"{self.job.job_id}.0.0.{task.index}", task.attempt)
@@ -459,6 +494,11 @@
         # The latest jobs that were cancelled here, with the times.
         self.cancellations: deque[tuple[int, str]] = deque(maxlen=MAX_CANCELLATIONS)
         self.worker_slowdowns = WorkerSlowdowns()
+        # The work that waits at other entries; None if it is not exchanged.
+        self.known_backlog: OtherBacklog | None = None
+        self.arrival_rates = ArrivalRates()
+        # When the next waiting job of a service with priorities has to be refused.
+        self.next_refusal_ms = math.inf
         self.next_order = 1
         self.started_ms: int | None = None
         # When the first agent linked.
