--- a/bench/virtual/burst_load.py
+++ b/bench/virtual/burst_load.py
@@ -145,6 +145,7 @@
     tasks: int
     work_ms: int
     relative_rate: float
+    priority: int = 0
 
     @property
     def path(self) -> str:
@@ -184,7 +185,7 @@
 
     ``utilization`` is the share of the workers' capacity that the load uses on
     average, without bursts. ``task_cpu`` is the mean need of a task, in
-    thousandths of a core.
+    thousandths of a core. ``job_kinds`` are the jobs that are submitted.
     """
 
     data_centres: int = 3
@@ -192,6 +193,7 @@
     workers: int = 11
     utilization: float = 0.7
     task_cpu: int = 6_200
+    job_kinds: tuple[JobKind, ...] = JOB_KINDS
 
 
 class Heterogeneity(NamedTuple):
@@ -582,7 +584,7 @@
             "i",
             endpoint.data_centre,
             DRAIN_GRACE_MS,
-            decode_configuration,
+            simulation.decode_configuration,
             random.Random(seed),
         )
         self.endpoint = endpoint
@@ -598,7 +600,7 @@
             self.endpoint.incarnation,
             self.endpoint.data_centre,
             DRAIN_GRACE_MS,
-            decode_configuration,
+            self.simulation.decode_configuration,
             random.Random(self.simulation.fault_random.random()),
         )
         self.start_again(BurstEntryCore(state))
@@ -933,13 +935,24 @@
         )
 
 
-def decode_configuration(_text: bytes) -> Result[Configuration, str]:
-    """Return the configuration of all simulations: a route for each kind of job."""
+def make_configuration(kinds: Iterable[JobKind]) -> Configuration:
+    """Return the configuration of a simulation: a route for each kind of job."""
     routes = tuple(
-        Route(kind.name, HOST, kind.path, "desk", 0, GOAL_MS, 4, SLACK_FACTOR, 0, False)
-        for kind in JOB_KINDS
+        Route(
+            name=kind.name,
+            host=HOST,
+            path_prefix=kind.path,
+            service="desk",
+            timeout_ms=0,
+            goal_ms=GOAL_MS,
+            attempts=4,
+            slack_factor=SLACK_FACTOR,
+            priority=kind.priority,
+            needs_advice=False,
+        )
+        for kind in kinds
     )
-    return Success(Configuration(1, routes, EdgeLimits(), b"1"))
+    return Configuration(1, routes, EdgeLimits(), b"1")
 
 
 class Request(NamedTuple):
@@ -1050,6 +1063,10 @@
             entry.handle(ConfigurationRead(b"1"), "")
             entry.handle(EntriesRead(self.endpoints), "")
 
+    def decode_configuration(self, _text: bytes) -> Result[Configuration, str]:
+        """Return the same configuration for each text."""
+        return Success(make_configuration(self.size.job_kinds))
+
     def add_agent(self, number: int) -> None:
         """Create an agent, report its worker and schedule its links."""
         heterogeneity = self.heterogeneity
@@ -1371,13 +1388,13 @@
     # Jobs of a kind are submitted at rate_scale times its relative rate, per ms. So
     # all kinds together need the wanted share of the capacity on average.
     need_per_rate = size.task_cpu * sum(
-        kind.relative_rate * kind.tasks * kind.work_ms for kind in JOB_KINDS
+        kind.relative_rate * kind.tasks * kind.work_ms for kind in size.job_kinds
     )
     rate_scale = (
         size.utilization * simulation.capacity_per_second() / 1_000 / need_per_rate
     )
     tokens = itertools.count(1)
-    for kind in JOB_KINDS:
+    for kind in size.job_kinds:
         at_ms = load_start_ms
         while True:
             rate = rate_scale * kind.relative_rate
@@ -1449,7 +1466,9 @@
     Jobs are grouped by the two-second window in which they were submitted; the
     first window begins at ``load_start_ms``.
     """
-    counts: dict[str, Counter[str]] = {kind.name: Counter() for kind in JOB_KINDS}
+    counts: dict[str, Counter[str]] = {
+        kind.name: Counter() for kind in simulation.size.job_kinds
+    }
     worth_by_window: dict[int, list[float]] = {}
     response_times_ms = []
     for token, request in simulation.requests.items():
