--- a/src/sardineferry/explain/causes.py
+++ b/src/sardineferry/explain/causes.py
@@ -46,6 +46,7 @@
 
 CAUSE_BY_REASON = {
     "no room in time": Cause.WAITED,
+    "forecast start too late": Cause.WAITED,
     "no room for a repeat": Cause.RUN_LOST,
     "attempts used up": Cause.RUN_FAILED,
     "entry is leaving": Cause.STOPPING,
