Leave free capacity to more urgent jobs that wait at other entries

Cause: with several entries, one placed less urgent jobs while an urgent one waited at another. Change: if the backlog of other entries is known, a job that has not started leaves free capacity to more urgent work there that is more than fits. Without a known backlog nothing changes. A job that is served first isn't given up by the forecast while a worker has capacity for it.

--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -266,6 +266,7 @@
         return None
     own_work = own_work_ahead(state, route.priority, latest_start_ms)
     if own_work <= 0 and has_free_worker(state, event.job, route, now_ms):
+        # The backlog of other entries may be out of date.
         return None
     wait_ms = forecast_terms(state, route.priority, now_ms).wait_ms(own_work)
     reason = (
@@ -732,13 +733,20 @@
 
 
 def give_up_unstartable_jobs(state: BurstEntryState, now_ms: int) -> None:
-    """Refuse queued jobs of services with priorities that can't start in time."""
+    """Refuse queued jobs of services with priorities that can't start in time.
+
+    Not refused is a job that is served first while a worker has capacity for it.
+    """
     if state.is_discovering_workers(now_ms):
         return
     services = {job.route.service for job in state.queue if job.is_prioritised}
     for service in sorted(services):
         for unstartable in find_unstartable_jobs(state, service, now_ms):
             job = state.jobs[unstartable.job_id]
+            own_work = own_work_ahead(state, job.priority, job.latest_start_ms)
+            is_first = own_work <= job.waiting_work()
+            if is_first and has_free_worker(state, job.job, job.route, now_ms):
+                continue
             reason = "forecast start too late"
             finish_job(state, job, ReplyKind.NOT_RUN, reason, now_ms)
 
--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -17,6 +17,7 @@
 from sardineferry.decision.burst.entry_state import PlacedRun
 from sardineferry.decision.burst.overload import WithheldAgents
 from sardineferry.decision.burst.overload import service_order
+from sardineferry.decision.burst.overload import yields_to_other_entries
 from sardineferry.decision.burst.placement import Candidate
 from sardineferry.decision.burst.placement import is_capacity_scarce
 from sardineferry.decision.burst.placement import place_tasks
@@ -113,7 +114,8 @@
         preferred = preferred_agents(
             job, EligibleAgents(views, eligible.slowdowns), now_ms
         )
-        place_job_tasks(state, job, preferred, withheld_agents, now_ms)
+        if not is_left_to_others(state, job, preferred, now_ms):
+            place_job_tasks(state, job, preferred, withheld_agents, now_ms)
         if job.placeable_tasks():
             withheld_agents.withhold(
                 (view.name for view in preferred.views), job.priority
@@ -124,6 +126,23 @@
         request_capacity_updates(state, eligible.views, now_ms)
 
 
+def is_left_to_others(
+    state: BurstEntryState, job: ActiveJob, eligible: EligibleAgents, now_ms: int
+) -> bool:
+    """Return whether a job that has not started waits for more urgent ones elsewhere.
+
+    Other entries need the free capacity for them, as far as their backlog is known.
+    """
+    backlog = state.known_backlog
+    if not job.is_prioritised or backlog is None or not backlog.is_known(now_ms):
+        return False
+    free_cpu = sum(view.available.cpu for view in eligible.views)
+    more_urgent_work = backlog.work_ahead(job.priority - 1, now_ms)
+    return not job.started and yields_to_other_entries(
+        free_cpu, job.step.estimate_ms, more_urgent_work
+    )
+
+
 def request_capacity_updates(
     state: BurstEntryState, views: list[AgentView], now_ms: int
 ) -> None:
--- a/src/sardineferry/decision/burst/overload/__init__.py
+++ b/src/sardineferry/decision/burst/overload/__init__.py
@@ -9,6 +9,7 @@
 from sardineferry.decision.burst.overload.order import find_prioritised_services
 from sardineferry.decision.burst.overload.order import is_served_before
 from sardineferry.decision.burst.overload.order import service_order
+from sardineferry.decision.burst.overload.order import yields_to_other_entries
 from sardineferry.decision.burst.overload.retry_after import jittered_retry_after_ms
 from sardineferry.decision.burst.overload.shedding import ForecastTerms
 from sardineferry.decision.burst.overload.shedding import OtherBacklog
@@ -28,4 +29,5 @@
     "max_decision_wait_ms",
     "refusal_counter",
     "service_order",
+    "yields_to_other_entries",
 ]
--- a/src/sardineferry/decision/burst/overload/order.py
+++ b/src/sardineferry/decision/burst/overload/order.py
@@ -20,6 +20,7 @@
     "find_prioritised_services",
     "is_served_before",
     "service_order",
+    "yields_to_other_entries",
 ]
 
 
@@ -71,6 +72,17 @@
     return service_order(*job.rank()) <= service_order(False, priority, latest_start_ms)
 
 
+def yields_to_other_entries(
+    free_cpu: int, estimate_ms: int, more_urgent_work: float
+) -> bool:
+    """Return whether a job leaves the free capacity to other entries.
+
+    It does if more urgent work waits there than the free capacity does in the time that
+    a task of the job would occupy it.
+    """
+    return more_urgent_work > free_cpu * estimate_ms
+
+
 class WithheldAgents:
     """The agents that jobs wait for, and from whom they are withheld.
 
--- a/tests/decision/burst/test_overload.py
+++ b/tests/decision/burst/test_overload.py
@@ -96,6 +96,24 @@
     assert ordered_jobs(entry) == [1, 3]
 
 
+class OtherWork:
+    """Work of the most urgent priority that waits at other entries."""
+
+    def is_known(self, _now_ms: int) -> bool:
+        return True
+
+    def work_ahead(self, priority: int, _now_ms: int) -> float:
+        return 1e9 if priority >= 0 else 0.0
+
+
+def check_capacity_is_left_to_more_urgent_jobs_of_other_entries() -> None:
+    entry = make_entry()
+    entry.state.known_backlog = OtherWork()
+    for number, path in ((1, "p1"), (2, "p0")):
+        submit_to(entry, number, path)
+    assert ordered_jobs(entry) == [2]
+
+
 def give_up(jobs: list[tuple[Any, ...]]) -> list[str]:
     """Return the ids of the jobs to give up at a rate of 1 per ms."""
     found = shedding.find_jobs_to_give_up(
@@ -251,6 +269,12 @@
         "is_withheld",
         lambda self, name, _priority: name in self.priorities,
     ),
+    Mutant(
+        check_capacity_is_left_to_more_urgent_jobs_of_other_entries,
+        entry_placement,
+        "yields_to_other_entries",
+        lambda *_: False,
+    ),
     Mutant(
         check_job_that_is_too_late_is_not_started,
         ActiveJob,
