--- a/src/sardineferry/decision/burst/evacuation/entry_handlers.py
+++ b/src/sardineferry/decision/burst/evacuation/entry_handlers.py
@@ -95,7 +95,7 @@
         view.linked
         and view.profile is not None
         and not state.evacuation.is_evacuated(view.data_centre)
-        and can_run_job(view, job)
+        and can_run_job(view, job.job, job.route)
         and view.profile.total.covers(job.step.need)
         for view in state.agents.values()
     )
--- a/src/sardineferry/decision/burst/overload/backlog.py
+++ b/src/sardineferry/decision/burst/overload/backlog.py
@@ -18,7 +18,6 @@
     from collections.abc import Iterable
     from collections.abc import Mapping
 
-    from sardineferry.decision.burst.configuration import Route
     from sardineferry.messages.burst import EntryBacklog
     from sardineferry.messages.burst import EntryEndpoint
 
@@ -29,7 +28,6 @@
     "OwnStatement",
     "WaitingWork",
     "add_up_work",
-    "find_services_with_priorities",
     "find_shared_agents",
 ]
 
@@ -55,14 +53,6 @@
     waiting: tuple[PriorityWork, ...]
 
 
-def find_services_with_priorities(routes: Iterable[Route]) -> frozenset[str]:
-    """Return the services whose routes have different priorities."""
-    priorities: dict[str, set[int]] = {}
-    for route in routes:
-        priorities.setdefault(route.service, set()).add(route.priority)
-    return frozenset(service for service, found in priorities.items() if len(found) > 1)
-
-
 def add_up_work(jobs: Iterable[WaitingWork]) -> tuple[PriorityWork, ...]:
     """Return the waiting work by priority, the most urgent first."""
     sums: dict[int, float] = {}
--- a/src/sardineferry/decision/burst/overload/entry_backlog.py
+++ b/src/sardineferry/decision/burst/overload/entry_backlog.py
@@ -22,12 +22,12 @@
 
     Only services whose routes have different priorities count.
     """
-    if not state.queue or not state.services_with_priorities:
+    if not state.queue or not state.route_table.prioritised_services:
         return state.own_statement.clear()
     jobs = (
         WaitingWork(job.route.priority, job.waiting_work())
         for job in state.queue
-        if job.route.service in state.services_with_priorities
+        if job.route.service in state.route_table.prioritised_services
     )
     return state.own_statement.refresh(jobs, now_ms)
 
--- a/src/sardineferry/decision/burst/overload/left_capacity.py
+++ b/src/sardineferry/decision/burst/overload/left_capacity.py
@@ -134,7 +134,7 @@
     known = state.known_backlog
     if (
         job.started
-        or job.route.service not in state.services_with_priorities
+        or job.route.service not in state.route_table.prioritised_services
         or not known.is_known(now_ms)
     ):
         return []
