Count others' waiting work in full in the forecast

It counted by the part of the agents that two entries share. That gives the mean wait with several data centres, and jobs that are admitted by the mean are often late. What is left to more urgent work still counts by that part.

--- a/src/sardineferry/decision/burst/overload/backlog.py
+++ b/src/sardineferry/decision/burst/overload/backlog.py
@@ -122,8 +122,8 @@
     def __init__(self) -> None:
         """Create it without statements."""
         self.statements: dict[str, BacklogStatement] = {}
-        # Which of this entry's agents other entries are linked to, too. Only that part
-        # of their work competes for its workers; all of it if the entry isn't listed.
+        # Which of this entry's agents other entries are linked to, too; possibly all
+        # if an entry isn't listed.
         self.shared_agents: dict[str, set[str]] = {}
         self.agent_count = 0
 
@@ -153,13 +153,19 @@
             for statement in self.statements.values()
         )
 
-    def work_by_priority(self, now_ms: int) -> dict[int, float]:
-        """Return the work that waits elsewhere for the workers of this entry."""
+    def work_by_priority(
+        self, now_ms: int, *, only_shared: bool = False
+    ) -> dict[int, float]:
+        """Return the work that waits elsewhere.
+
+        If ``only_shared``, an entry's work counts by the part of this entry's agents
+        that it is linked to, too.
+        """
         sums: dict[int, float] = {}
         for entry, statement in self.statements.items():
             if now_ms - statement.stated_ms > BACKLOG_VALID_MS:
                 continue
-            part = self.shared_part(entry)
+            part = self.shared_part(entry) if only_shared else 1.0
             for priority, work in statement.waiting:
                 sums[priority] = sums.get(priority, 0.0) + part * work
         return sums
--- a/src/sardineferry/decision/burst/overload/left_capacity.py
+++ b/src/sardineferry/decision/burst/overload/left_capacity.py
@@ -140,7 +140,7 @@
         return []
     urgent = {
         priority: work
-        for priority, work in known.work_by_priority(now_ms).items()
+        for priority, work in known.work_by_priority(now_ms, only_shared=True).items()
         if priority < job.route.priority and work > 0
     }
     if not urgent:
--- a/tests/decision/burst/test_shared_backlog.py
+++ b/tests/decision/burst/test_shared_backlog.py
@@ -120,8 +120,8 @@
     assert known.is_known(NOW_MS) == bool(work)
 
 
-def test_work_counts_by_the_part_of_the_agents_that_are_shared() -> None:
-    """Else the work that other data centres do themselves causes refusals."""
+def test_work_for_shared_workers_counts_by_the_part_that_is_shared() -> None:
+    """Else capacity is left to work that other data centres do themselves."""
     entries = [
         EntryEndpoint(name, name, data_centre, "i")
         for name, data_centre in (("e", "x"), ("f", "x"), ("g", "y"))
@@ -136,7 +136,8 @@
     known.shared_agents = {"f": set("ab")}
     known.agent_count = 4
     known.add(NOW_MS, [EntryBacklog("f", 0, MORE), EntryBacklog("g", 0, MORE)])
-    assert known.work_ahead(1, NOW_MS) == 750
+    assert known.work_by_priority(NOW_MS, only_shared=True) == {1: 750}
+    assert known.work_ahead(1, NOW_MS) == 1_000
 
 
 def test_statement_is_forwarded_again_only_if_newer_and_due() -> None:
