--- a/src/sardineferry/deployment/agent.py
+++ b/src/sardineferry/deployment/agent.py
@@ -66,8 +66,6 @@
         int(time.time() * MS_PER_S),
         settings.grace_ms,
     )
-    metrics_server = MetricsServer(loop, settings.ip, state.counters, metrics_port)
-    metrics_server.gauge_sources.append(evacuation_gauges(state.evacuation, now_ms))
     parts = AgentParts(
         loop=loop,
         core=BurstAgentCore(state),
@@ -84,7 +82,13 @@
             HEARTBEAT_SERVER_LIMITS,
         ),
         background_parts=(common.entries_watch,),
-        metrics_server=metrics_server,
+        metrics_server=MetricsServer(
+            loop,
+            settings.ip,
+            state.counters,
+            metrics_port,
+            lambda: evacuation_gauges(state.evacuation, now_ms()),
+        ),
         log=common.log,
         settings_watch=common.settings_watch,
     )
--- a/src/sardineferry/metrics_server.py
+++ b/src/sardineferry/metrics_server.py
@@ -16,7 +16,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
-    from sardineferry.gauges import Gauge
+    from sardineferry.decision.gauges import Gauge
     from sardineferry.loop import IoLoop
     from sardineferry.metrics_page import MetricsPage
     from sardineferry.web import Exchange
@@ -39,9 +39,14 @@
     """
 
     def __init__(
-        self, loop: IoLoop, host: str, counters: Counter[str], port: int
+        self,
+        loop: IoLoop,
+        host: str,
+        counters: Counter[str],
+        port: int,
+        read_gauges: Callable[[], Iterable[Gauge]] = tuple,
     ) -> None:
-        """Bind the address.
+        """Bind the address; ``read_gauges`` is called for each page.
 
         Raises:
             AddressError: The address can't be bound.
@@ -49,9 +54,8 @@
         """
         self.loop = loop
         self.counters = counters
+        self.read_gauges = read_gauges
         self.latencies = LatencyHistograms()
-        # Functions that return the current values of gauges.
-        self.gauge_sources: list[Callable[[], Iterable[Gauge]]] = []
         self.page: MetricsPage | None = None
         self.loader: threading.Thread | None = None
         # Requests to be answered once the library is loaded.
@@ -79,7 +83,7 @@
         """Import the metrics library; runs in the ``loader`` thread."""
         from sardineferry.metrics_page import MetricsPage
 
-        page = MetricsPage(self.counters, self.latencies, self.gauge_sources)
+        page = MetricsPage(self.counters, self.latencies, self.read_gauges)
         self.loop.post(lambda: self.handle_loaded(page))
 
     def handle_loaded(self, page: MetricsPage) -> None:
--- a/tests/web/test_metrics_server.py
+++ b/tests/web/test_metrics_server.py
@@ -8,6 +8,7 @@
 
 from sardineferry.burst.evacuation_gauges import evacuation_gauges
 from sardineferry.decision.burst.evacuation import EvacuationRelay
+from sardineferry.decision.gauges import Gauge
 from sardineferry.loop import IoLoop
 from sardineferry.messages.burst import Evacuations
 from sardineferry.metrics_server import MetricsServer
@@ -54,8 +55,9 @@
 ) -> None:
     """Guards against operators who can't see which list a process holds."""
     relay = EvacuationRelay()
-    server = MetricsServer(loop, "127.0.0.1", Counter(), 0)
-    server.gauge_sources.append(evacuation_gauges(relay, lambda: 3_500))
+    server = MetricsServer(
+        loop, "127.0.0.1", Counter(), 0, lambda: evacuation_gauges(relay, 3_500)
+    )
     server.start()
     assert "evacuat" not in scrape(loop, server)
     relay.adopt(Evacuations(7, ("dc-1", "dc-2")), 1_000)
@@ -71,3 +73,23 @@
     server = MetricsServer(loop, "127.0.0.1", Counter(), 0)
     server.start()
     assert scrape(loop, server, "POST").startswith("405 ")
+
+
+@pytest.mark.parametrize(
+    ("gauge", "line"),
+    [
+        (Gauge("age_ms", "age", "", {"": 20}), "sardineferry_age_ms 20.0"),
+        (
+            Gauge("work", "work", "priority", {"0": 5}),
+            'sardineferry_work{priority="0"} 5.0',
+        ),
+    ],
+)
+def test_gauges_are_read_for_each_page(loop: IoLoop, gauge: Gauge, line: str) -> None:
+    """A gauge that is read only once shows a state that is over."""
+    gauges = [gauge]
+    server = MetricsServer(loop, "127.0.0.1", Counter(), 0, lambda: gauges)
+    server.start()
+    assert line in scrape(loop, server)
+    gauges.clear()
+    assert line not in scrape(loop, server)
