Setting memory_mb of the product's own entry; a fleet's memory as a parameter

Tests of clients that are not under our control need lowered limits. The deployment's settings have the machine's memory already, the product's own entry had none. The default is 1,024 MB; nothing is derived from it yet. DeployedFleet takes the memory, and can start without a published configuration.

--- a/bench/deployed_fleet.py
+++ b/bench/deployed_fleet.py
@@ -82,9 +82,24 @@
     """A store stand-in, entries, agents and worker stand-ins as processes."""
 
     def __init__(
-        self, entries: int, workers: int, cpu: int = 8_000, data_centres: int = 2
+        self,
+        entries: int,
+        workers: int,
+        cpu: int = 8_000,
+        data_centres: int = 2,
+        memory_mb: int = 300,
+        descriptors: int = 4_096,
+        configured: bool = True,
     ) -> None:
-        """Choose addresses and ports, on a network that no other fleet should use."""
+        """Choose addresses and ports, on a network that no other fleet should use.
+
+        ``memory_mb`` and ``descriptors`` are the limits of each machine by the
+        programs' settings. If ``configured`` is false, no configuration is published,
+        so that entries listen but don't get ready.
+        """
+        self.memory_mb = memory_mb
+        self.descriptors = descriptors
+        self.configured = configured
         self.data_centres = DATA_CENTRES[:data_centres]
         self.directory = tempfile.TemporaryDirectory(prefix="sardineferry-")
         self.cpu = cpu
@@ -116,7 +131,8 @@
         self.wait_until(
             lambda: call_json(self.store_address, "GET", "/stats")[0] == 200
         )
-        self.publish_configuration(make_configuration(1))
+        if self.configured:
+            self.publish_configuration(make_configuration(1))
         for index in range(len(self.agent_ips)):
             self.start_worker(index)
             self.start_agent(index)
@@ -176,7 +192,7 @@
             "Listen": listen,
             "PortRange": [link_port, link_port],
             "Seeds": [f"{entry}:{self.control_port}" for entry in self.entry_ips[:1]],
-            "Limits": {"MemoryMb": 300},
+            "Limits": {"MemoryMb": self.memory_mb, "MaxFds": self.descriptors},
             "Bounds": {"GraceS": GRACE_S},
             "platform": {"Address": self.store_address_for_programs},
             "app": f"{ip}:{self.app_port}",
@@ -245,9 +261,10 @@
         return f"{self.agent_ips[index]}:{self.worker_listen_port}"
 
     def wait_entry_ready(self, index: int) -> None:
-        """Wait until an entry is ready."""
+        """Wait until an entry is ready, or only answers if it can't get ready."""
         address = f"{self.entry_ips[index]}:{self.ready_port}"
-        self.wait_until(lambda: call_json(address, "GET", "/v1/readyz")[0] == 200)
+        status = 200 if self.configured else 503
+        self.wait_until(lambda: call_json(address, "GET", "/v1/readyz")[0] == status)
 
     def wait_worker_ready(self, index: int) -> None:
         """Wait until a worker answers."""
--- a/src/sardineferry/settings/entry.py
+++ b/src/sardineferry/settings/entry.py
@@ -15,8 +15,9 @@
     platform's log. ``teams`` maps each team to the number of attempts that it
     may have running over all entries. ``http_threads`` limits the requests that
     wait at the entry, which take no threads. ``drain_linger_ms`` is the delay
-    between the signal to drain and the start of draining. ``EntryPolicy``
-    explains the other limits.
+    between the signal to drain and the start of draining. ``memory_mb`` is the
+    memory of the machine; nothing is derived from it yet. ``EntryPolicy`` explains
+    the other limits.
     """
 
     name: str
@@ -33,6 +34,7 @@
     load_half_life_ms: int = 0
     republish_ms: int = 60_000
     drain_linger_ms: int = 500
+    memory_mb: int = 1_024
     statsd: str = ""
     log_level: str = "INFO"
     log_json: bool = False
