--- /dev/null
+++ b/src/sardineferry/client_budget.py
@@ -0,0 +1,32 @@
+"""How much memory of a process its clients' unfinished input may take."""
+
+from __future__ import annotations
+
+__all__ = ["CONNECTION_BYTES", "client_budget_bytes"]
+
+BYTES_PER_MB = 1024 * 1024
+# Share of the machine's memory that the process may use.
+MEMORY_SHARE = 0.8
+# The program itself: 21 MB after the start, 30 with the metrics library, and its jobs.
+PROGRAM_MB = 40
+# A connection with its request and job takes about 20 KB.
+CONNECTION_BYTES = 20_000
+# The budget is half of what is left: decoding a body takes a multiple of its size for
+# a moment, and freed memory is not returned to the system at once.
+BUDGET_SHARE = 0.5
+# Lower bounds, whatever the settings: a body of the largest size must be served.
+MIN_BUDGET_BYTES = 4 * BYTES_PER_MB
+MIN_LARGEST_BODIES = 2
+
+
+def client_budget_bytes(
+    memory_mb: int, connections: int, largest_body_bytes: int
+) -> int:
+    """Return the byte budget of a process on a machine with this much memory."""
+    own_bytes = PROGRAM_MB * BYTES_PER_MB + connections * CONNECTION_BYTES
+    left_bytes = MEMORY_SHARE * memory_mb * BYTES_PER_MB - own_bytes
+    return max(
+        MIN_BUDGET_BYTES,
+        MIN_LARGEST_BODIES * largest_body_bytes,
+        int(BUDGET_SHARE * left_bytes),
+    )
--- a/src/sardineferry/loop/__init__.py
+++ b/src/sardineferry/loop/__init__.py
@@ -10,6 +10,8 @@
 from sardineferry.loop.acceptor import Acceptor
 from sardineferry.loop.acceptor import AddressError
 from sardineferry.loop.address import split_address
+from sardineferry.loop.byte_budget import Account
+from sardineferry.loop.client_guard import ClientGuard
 from sardineferry.loop.connection import Connection
 from sardineferry.loop.connection import ConnectionOwner
 from sardineferry.loop.dial import dial
@@ -19,7 +21,9 @@
 
 __all__ = [
     "Acceptor",
+    "Account",
     "AddressError",
+    "ClientGuard",
     "Connection",
     "ConnectionOwner",
     "IoLoop",
--- a/src/sardineferry/loop/connection.py
+++ b/src/sardineferry/loop/connection.py
@@ -11,6 +11,8 @@
 from sardineferry.loop.loop import WRITE
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sardineferry.loop.loop import IoLoop
 
 __all__ = ["Connection", "ConnectionOwner"]
@@ -37,6 +39,10 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
 )
 
+# States of Linux (tcp_states.h) in which the peer has closed its side, or both have:
+# CLOSE, CLOSE_WAIT and LAST_ACK.
+PEER_CLOSED_TCP_STATES = frozenset((7, 8, 9))
+
 logger = part_logger("connection")
 
 
@@ -62,8 +68,11 @@
         "closed",
         "closing",
         "end_reported",
+        "holds_input",
         "loop",
+        "on_flushed",
         "owner",
+        "paused",
         "reading",
         "socket",
         "write_buffer",
@@ -87,6 +96,12 @@
         self.write_buffer = bytearray()
         self.closing = False
         self.reading = True
+        # While the owner sets this, input is left to the system: its arrival pauses
+        # reading, and its end is still noticed as long as there is none.
+        self.holds_input = False
+        self.paused = False
+        # Called when the peer has accepted the whole write buffer.
+        self.on_flushed: Callable[[], object] | None = None
         self.end_reported = False
         self.closed = False
         loop.watch(connected_socket, READ, self.on_ready)
@@ -95,8 +110,11 @@
         """Send buffered bytes and read, as far as the socket is ready for it."""
         if events & WRITE and not self.closed:
             self.flush()
-        if events & READ and self.reading and not self.closed:
-            self.read()
+        if events & READ and self.reading and not self.paused and not self.closed:
+            if self.holds_input and not self.closing:
+                self.peek()
+            else:
+                self.read()
 
     def read(self) -> None:
         """Read once; the loop calls again while there is more to read."""
@@ -120,6 +138,20 @@
             logger.exception("A handler of received data failed.")
             self.end_input("handler failed")
 
+    def peek(self) -> None:
+        """Pause reading if there is input, and report its end if there is none."""
+        try:
+            data = self.socket.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as error:
+            self.end_input(str(error))
+            return
+        if data:
+            self.set_paused(True)
+        else:
+            self.end_input("")
+
     def end_input(self, reason: str) -> None:
         """Report the end of input to the owner, once.
 
@@ -138,9 +170,14 @@
             self.owner.input_ended(reason)
 
     def has_ended(self) -> bool:
-        """Return whether the peer has closed its side and all its bytes were read."""
+        """Return whether the peer has closed its side and all its bytes were read.
+
+        While reading is paused, bytes that were not read don't count.
+        """
         if self.closed or not self.reading:
             return True
+        if self.paused and self.tcp_state() in PEER_CLOSED_TCP_STATES:
+            return True
         try:
             return not self.socket.recv(1, socket.MSG_PEEK)
         except (BlockingIOError, InterruptedError):
@@ -148,6 +185,21 @@
         except OSError:
             return True
 
+    def tcp_state(self) -> int:
+        """Return the state of the TCP connection."""
+        return self.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+
+    def set_paused(self, paused: bool) -> None:
+        """Pause or resume reading; the peer's bytes wait in the system meanwhile.
+
+        A closing connection is not paused, as it discards what it reads.
+        """
+        if self.closing:
+            paused = False
+        if self.paused != paused:
+            self.paused = paused
+            self.update_events()
+
     def stop_reading(self) -> None:
         """Stop reading: the peer has closed its sending side."""
         self.reading = False
@@ -191,10 +243,14 @@
             self.update_events()
             if self.closing:
                 self.shut_down_sending()
+            elif self.on_flushed is not None:
+                self.on_flushed()
 
     def update_events(self) -> None:
         """Watch for readability if reading, and for writability if bytes wait."""
-        events = (READ if self.reading else 0) | (WRITE if self.write_buffer else 0)
+        events = WRITE if self.write_buffer else 0
+        if self.reading and not self.paused:
+            events |= READ
         if self.closed:
             return
         if not events:
@@ -211,6 +267,7 @@
         if self.closed or self.closing:
             return
         self.closing = True
+        self.set_paused(False)
         if not self.write_buffer:
             self.shut_down_sending()
 
