HTTP server: budget, deadline of a request, bounded parsing, room at the limit

While a request is unanswered, or answers are unread, nothing more is read. An incomplete request is refused with 503 when the budget is exhausted, and with 408 after request_timeout_s as a whole. Trailers and chunk extensions are limited.

--- a/tests/web/test_server.py
+++ b/tests/web/test_server.py
@@ -325,3 +325,127 @@
     client.send(get("/now", "X-Long: " + "x" * 60 + "\r\n"))
     client.wait(lambda: client.closed)
     assert client.statuses() == [431]
+
+
+CHUNKED = b"POST /now HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def test_body_in_one_byte_chunks_is_served_over_several_passes(
+    running: RunningServer,
+) -> None:
+    """Guards against a pass that handles any number of small chunks at once."""
+    client, other = running.connect(), running.connect()
+    client.send(CHUNKED + b"1\r\ny\r\n" * 1_000 + b"0\r\n\r\n")
+    run_until(running.loop, lambda: running.server.guard.deferred)
+    other.send(get("/now"))
+    other.wait(lambda: other.statuses() == [200])
+    client.wait(lambda: client.statuses() == [200])
+    assert [request.method for request in running.handler.requests] == ["GET", "POST"]
+    assert running.handler.requests[1].body == b"y" * 1_000
+
+
+def test_bytes_behind_an_unanswered_request_are_not_read(
+    running: RunningServer,
+) -> None:
+    """Guards against a chunked body without end that grows behind a request."""
+    client = running.connect()
+    client.send(get("/wait"))
+    run_until(running.loop, lambda: running.handler.waiting)
+    client.send(CHUNKED + b"64\r\n" + b"y" * 100 + b"\r\n")
+    run_for(running.loop, 0.1)
+    assert running.server.guard.budget.held_bytes == 0
+    running.handler.waiting[0].answer(json_response(200, {}))
+    client.send(b"0\r\n\r\n")
+    client.wait(lambda: client.statuses() == [200, 200])
+    assert running.handler.requests[1].body == b"y" * 100
+
+
+@pytest.mark.parametrize("data", [CHUNKED, b"GET /now"])
+def test_disconnect_behind_an_unanswered_request_is_noticed(
+    running: RunningServer, data: bytes
+) -> None:
+    client = running.connect()
+    client.send(get("/wait"))
+    run_until(running.loop, lambda: running.handler.waiting)
+    client.send(data)
+    run_for(running.loop, 0.1)
+    client.socket.close()
+    run_until(running.loop, lambda: running.handler.disconnected_paths)
+
+
+def test_whole_request_has_a_deadline(running: RunningServer) -> None:
+    """Guards against a sender that never pauses for long and never ends."""
+    running.server.limits = LIMITS._replace(request_timeout_s=0.6)
+    client = running.connect()
+    client.send(CHUNKED)
+
+    def send_chunk() -> None:
+        if not client.closed:
+            client.socket.send(b"1\r\ny\r\n")
+            running.loop.call_later(0.05, send_chunk)
+
+    send_chunk()
+    client.wait(lambda: client.closed)
+    assert client.statuses() == [408]
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"0\r\n" + b"".join(b"n%d: v\r\n" % number for number in range(100)),
+        b"0\r\nX: " + b"y" * 9_000,
+        b"1;" + b"y" * 9_000,
+    ],
+    ids=["trailers", "one trailer", "chunk extension"],
+)
+def test_trailers_and_chunk_extensions_are_limited(
+    running: RunningServer, data: bytes
+) -> None:
+    """Guards against input after the headers that is not part of the body."""
+    client = running.connect()
+    client.send(CHUNKED + data)
+    client.wait(lambda: client.closed)
+    assert client.statuses() == [431]
+
+
+def test_exhausted_budget_refuses_incomplete_requests_only(
+    running: RunningServer,
+) -> None:
+    running.server.guard.budget.limit_bytes = 1_500
+    waiting, stopped, later = (running.connect() for _ in range(3))
+    head = b"POST /wait HTTP/1.1\r\nHost: x\r\nContent-Length: 900\r\n\r\n"
+    waiting.send(head + b"y" * 900)
+    run_until(running.loop, lambda: running.handler.waiting)
+    stopped.send(head + b"y" * 800)
+    run_for(running.loop, 0.1)
+    later.send(head + b"y" * 800)
+    stopped.wait(lambda: stopped.closed)
+    assert stopped.statuses() == [503]
+    assert b"not run" in stopped.data
+    later.send(b"y" * 100)
+    run_until(running.loop, lambda: len(running.handler.waiting) == 2)
+    for exchange in running.handler.waiting:
+        exchange.answer(json_response(200, {}))
+    waiting.wait(lambda: waiting.statuses() == [200])
+    later.wait(lambda: later.statuses() == [200])
+    assert running.server.guard.counters == {"clients_refused_memory": 1}
+
+
+def test_stalled_connections_make_room_at_the_limit(
+    running: RunningServer, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against connections that do nothing and keep others out."""
+    monkeypatch.setattr("sardineferry.web.server.MIN_STALL_S", 0.05)
+    waiting = running.connect()
+    waiting.send(get("/wait"))
+    clients = [running.connect() for _ in range(LIMITS.connections - 1)]
+    run_until(running.loop, lambda: len(running.server.connections) == 20)
+    run_for(running.loop, 0.1)
+    extra = running.connect()
+    extra.send(get("/now"))
+    extra.wait(lambda: extra.statuses() == [200])
+    for client in clients:
+        client.poll()
+    assert any(client.closed for client in clients)
+    running.handler.waiting[0].answer(json_response(200, {}))
+    waiting.wait(lambda: waiting.statuses() == [200])
