Links: limits before the sender is identified, frames collected in place

An unidentified link could send 16 MiB of a frame, and each piece copied what was there. Before its first message a link now takes frames of up to 256 KiB; 256 such links are open at most, the oldest goes first. The first message has a frame of its own. Incomplete frames and unsent bytes count in the process's byte budget.

--- a/src/sardineferry/transport/frames.py
+++ b/src/sardineferry/transport/frames.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-__all__ = ["FrameError", "FrameReader", "encode_frame"]
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+__all__ = ["MAX_FRAME_BYTES", "FrameError", "FrameReader", "encode_frame"]
 
 # Size of the length prefix, which is in network byte order.
 LENGTH_BYTES = 4
@@ -24,32 +29,40 @@
 class FrameReader:
     """Splits a received byte stream into frames."""
 
-    __slots__ = ("unparsed",)
+    __slots__ = ("max_frame_bytes", "unparsed")
+
+    def __init__(self, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
+        """Start at a frame boundary; the limit can be changed later."""
+        self.max_frame_bytes = max_frame_bytes
+        self.unparsed = bytearray()
 
-    def __init__(self) -> None:
-        """Start at a frame boundary."""
-        self.unparsed = b""
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """Yield the frames that these bytes complete, then keep the rest.
 
-    def feed(self, data: bytes) -> list[bytes]:
-        """Return the frames that these bytes complete, and keep the rest.
+        The limit may change between two frames.
 
         Raises:
-            FrameError: A length exceeds ``MAX_FRAME_BYTES``.
+            FrameError: A length exceeds ``max_frame_bytes``.
 
         """
+        received: bytes | bytearray = data
         if self.unparsed:
-            data = self.unparsed + data
-        frames = []
+            # Extended in place: copying what is there already, for each piece of a
+            # large frame, would take quadratic time.
+            self.unparsed += data
+            received = self.unparsed
         position = 0
-        size = len(data)
+        size = len(received)
         while size - position >= LENGTH_BYTES:
             body_start = position + LENGTH_BYTES
-            length = int.from_bytes(data[position:body_start])
-            if length > MAX_FRAME_BYTES:
+            length = int.from_bytes(received[position:body_start])
+            if length > self.max_frame_bytes:
                 raise FrameError(f"frame of {length} bytes is too long")
             if size - body_start < length:
                 break
             position = body_start + length
-            frames.append(data[body_start:position])
-        self.unparsed = data[position:]
-        return frames
+            yield bytes(received[body_start:position])
+        if received is self.unparsed:
+            del self.unparsed[:position]
+        else:
+            self.unparsed += received[position:]
--- a/src/sardineferry/transport/link.py
+++ b/src/sardineferry/transport/link.py
@@ -7,6 +7,7 @@
 from sardineferry.logs import part_logger
 from sardineferry.loop import Connection
 from sardineferry.messages.codec import CodecError
+from sardineferry.transport.frames import MAX_FRAME_BYTES
 from sardineferry.transport.frames import FrameError
 from sardineferry.transport.frames import FrameReader
 from sardineferry.transport.frames import encode_frame
@@ -15,6 +16,7 @@
     import socket
     from collections.abc import Callable
 
+    from sardineferry.loop import ClientGuard
     from sardineferry.loop import IoLoop
     from sardineferry.messages.codec import Codec
 
@@ -31,11 +33,13 @@
     """
 
     __slots__ = (
+        "account",
         "bytes_sent",
         "codec",
         "connection",
         "frame_reader",
         "frames_sent",
+        "guard",
         "is_closed",
         "name",
         "on_closed",
@@ -50,9 +54,14 @@
         name: str,
         on_messages: Callable[[Link, list[object]], None],
         on_closed: Callable[[Link], None],
+        guard: ClientGuard | None = None,
+        max_frame_bytes: int = MAX_FRAME_BYTES,
     ) -> None:
         """Take over a connected socket.
 
+        With a ``guard``, the link's incomplete frame and unsent bytes count in the
+        process's byte budget. ``max_frame_bytes`` limits received frames.
+
         Raises:
             OSError: The peer has already closed the connection.
 
@@ -61,11 +70,15 @@
         self.name = name
         self.on_messages = on_messages
         self.on_closed = on_closed
-        self.frame_reader = FrameReader()
+        self.frame_reader = FrameReader(max_frame_bytes)
         self.is_closed = False
         self.frames_sent = 0
         self.bytes_sent = 0
         self.connection = Connection(loop, connected_socket, self)
+        self.guard = guard
+        self.account = None if guard is None else guard.open_account(self)
+        if guard is not None:
+            self.connection.on_flushed = self.update_account
 
     def data_received(self, data: bytes) -> None:
         """Pass on the messages of complete frames; abort if bytes are invalid."""
@@ -73,8 +86,26 @@
             for frame in self.frame_reader.feed(data):
                 self.on_messages(self, self.codec.decode(frame))
         except (CodecError, FrameError) as error:
-            logger.warning("Link to %s sent a bad frame: %s.", self.name, error)
+            if self.guard is not None and not self.name:
+                # Anybody can send this, so it is counted instead of logged.
+                self.guard.count_refusal("bad_link")
+            else:
+                logger.warning("Link to %s sent a bad frame: %s.", self.name, error)
             self.abort()
+            return
+        self.update_account()
+
+    def update_account(self) -> None:
+        """Account for the incomplete frame and the bytes that the peer did not read."""
+        if self.guard is None or self.account is None or self.is_closed:
+            return
+        held = len(self.frame_reader.unparsed) + len(self.connection.write_buffer)
+        if held or self.account.held_bytes:
+            self.guard.hold(self.account, held, unfinished=held > 0)
+
+    def evict(self) -> None:
+        """Close the link, as the process's byte budget is exhausted."""
+        self.abort()
 
     def input_ended(self, reason: str) -> None:
         """Close the link: the other end has closed it, or it failed."""
@@ -84,6 +115,18 @@
         self.report_closed()
 
     def send(self, messages: list[object]) -> None:
+        """Send messages as one frame.
+
+        The first message on a link, which names the sender, has a frame of its own:
+        the other end accepts only a small one before it knows the sender.
+        """
+        if not self.frames_sent and len(messages) > 1:
+            self.send_frame(messages[:1])
+            messages = messages[1:]
+        self.send_frame(messages)
+        self.update_account()
+
+    def send_frame(self, messages: list[object]) -> None:
         """Send messages as one frame."""
         data = encode_frame(self.codec.encode(messages))
         self.frames_sent += 1
@@ -104,4 +147,6 @@
         """Call ``on_closed``, once."""
         if not self.is_closed:
             self.is_closed = True
+            if self.guard is not None and self.account is not None:
+                self.guard.close_account(self.account)
             self.on_closed(self)
--- a/src/sardineferry/transport/listener.py
+++ b/src/sardineferry/transport/listener.py
@@ -7,7 +7,9 @@
 from sardineferry.decision.common_events import LinkDown
 from sardineferry.logs import part_logger
 from sardineferry.loop import Acceptor
+from sardineferry.loop import ClientGuard
 from sardineferry.messages.codec import CodecError
+from sardineferry.transport.frames import MAX_FRAME_BYTES
 from sardineferry.transport.link import Link
 
 if TYPE_CHECKING:
@@ -23,6 +25,11 @@
 # Time limit for the first message on a new link, which the other end sends as soon
 # as it is connected.
 NAME_TIMEOUT_S = 5.0
+# Limits on links before their first message. It has a frame of its own and is short;
+# processes of earlier versions send a batch with it.
+MAX_UNNAMED_FRAME_BYTES = 256 * 1024
+# More than the agents of a deployment, which may all connect at the same time.
+MAX_UNNAMED_LINKS = 256
 
 logger = part_logger("listener")
 
@@ -37,6 +44,7 @@
         codec: Codec,
         mailbox: Mailbox,
         links: LinkRegistry,
+        guard: ClientGuard | None = None,
     ) -> None:
         """Bind ``host:port``; port 0 lets the system choose one.
 
@@ -48,6 +56,9 @@
         self.codec = codec
         self.mailbox = mailbox
         self.links = links
+        self.guard = ClientGuard(loop) if guard is None else guard
+        # Links without a name, in the order in which they were accepted.
+        self.unnamed: dict[Link, None] = {}
         self.acceptor = Acceptor(loop, address, self.on_accept)
         self.port = self.acceptor.port
 
@@ -68,15 +79,20 @@
             "",
             self.on_messages,
             self.on_link_closed,
+            self.guard,
+            MAX_UNNAMED_FRAME_BYTES,
         )
+        self.unnamed[link] = None
+        if len(self.unnamed) > MAX_UNNAMED_LINKS:
+            # The oldest has most probably stopped: names are sent at once.
+            self.guard.count_refusal("unnamed_links")
+            next(iter(self.unnamed)).abort()
         self.loop.call_later(NAME_TIMEOUT_S, lambda: self.abort_if_unnamed(link))
 
     def abort_if_unnamed(self, link: Link) -> None:
         """Abort a link that has not received its first message."""
         if not link.name and not link.is_closed:
-            logger.warning(
-                "Closed a link whose other end did not send its name in time."
-            )
+            self.guard.count_refusal("unnamed_link_timeout")
             link.abort()
 
     def on_messages(self, link: Link, messages: list[object]) -> None:
@@ -92,6 +108,10 @@
             link.name = self.codec.link_name(messages[0]) if messages else ""
             if not link.name:
                 raise CodecError("the first message must name its sender")
+            del self.unnamed[link]
+            link.frame_reader.max_frame_bytes = MAX_FRAME_BYTES
+            if link.account is not None:
+                link.account.is_identified = True
             self.links.add(link.name, link)
             logger.info("Link to %s opened.", link.name)
         if self.links.is_current(link.name, link):
@@ -99,6 +119,7 @@
 
     def on_link_closed(self, link: Link) -> None:
         """Report that a link has closed, unless a newer one has replaced it."""
+        self.unnamed.pop(link, None)
         if link.name and self.links.remove(link.name, link):
             logger.info("Link to %s closed.", link.name)
             self.mailbox.put(LinkDown(link.name))
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -19,6 +19,8 @@
 from sardineferry.transport import LinkListener
 from sardineferry.transport import LinkRegistry
 from sardineferry.transport import RedialPolicy
+from sardineferry.transport.frames import encode_frame
+from sardineferry.transport.listener import MAX_UNNAMED_FRAME_BYTES
 from tests.loops import run_for
 from tests.loops import run_until
 
@@ -201,6 +203,34 @@
     assert near.next_event() == (LinkDown(dialer.address), "")
 
 
+def test_frame_of_an_unnamed_link_is_small(
+    near: LinkEnd, far: LinkEnd, listener: LinkListener
+) -> None:
+    """Guards against strangers that send large incomplete frames."""
+    client = socket.create_connection(("127.0.0.1", listener.port), 5)
+    client.sendall((MAX_UNNAMED_FRAME_BYTES + 1).to_bytes(4))
+    run_until(near.loop, lambda: listener.guard.counters["clients_refused_bad_link"])
+    # The limit ends with the first message, also within one read.
+    client = socket.create_connection(("127.0.0.1", listener.port), 5)
+    large = encode_frame(b"\0" * (MAX_UNNAMED_FRAME_BYTES + 1))
+    client.sendall(encode_frame(wire.CODEC.encode([ANNOUNCE])) + large[:100])
+    assert far.next_event() == (ANNOUNCE, "agent-0")
+    assert "agent-0" in far.links.links
+    assert listener.guard.budget.held_bytes == 100
+
+
+def test_oldest_unnamed_link_makes_room(
+    near: LinkEnd, listener: LinkListener, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("sardineferry.transport.listener.MAX_UNNAMED_LINKS", 2)
+    clients = [
+        socket.create_connection(("127.0.0.1", listener.port), 5) for _ in range(3)
+    ]
+    run_until(near.loop, lambda: len(listener.guard.counters))
+    assert len(listener.unnamed) == 2
+    assert clients[0].recv(1) == b""
+
+
 def test_redial_delay_cap_rises_after_many_failures(near: LinkEnd) -> None:
     redial_policy = RedialPolicy(
         (0.5,), 10, failures_before_idle=3, idle_delay_cap_ms=5_000
