Entries and agents: one byte budget for all listeners, safe limits from the start

Each process passes one guard to its listeners for callers, readiness, heartbeats, metrics and links; the metrics page shows its counters and gauges. Before the first configuration, callers have the limits of an empty one (16 KiB, 256 KiB, 3 s, 15 s) instead of 256 KiB, 1 MiB, 10 s and 120 s. A job with an unsupported feature passes one step to the core, as a body of 256 KiB can have 87,000.

--- a/src/sardineferry/deployment/agent.py
+++ b/src/sardineferry/deployment/agent.py
@@ -7,10 +7,12 @@
 
 from sardineferry.burst.agent import AgentParts
 from sardineferry.burst.agent import BurstAgentProcess
+from sardineferry.client_budget import client_budget_bytes
 from sardineferry.decision.burst.agent import BurstAgentCore
 from sardineferry.decision.burst.agent import BurstAgentState
 from sardineferry.deployment.common_parts import build_common_parts
 from sardineferry.incarnation import new_incarnation
+from sardineferry.loop import ClientGuard
 from sardineferry.messages.burst import CODEC
 from sardineferry.metrics_server import MetricsServer
 from sardineferry.platform.heartbeats import HeartbeatApplication
@@ -28,7 +30,13 @@
 __all__ = ["build"]
 
 # A worker's heartbeat may be up to 4 MiB long.
-HEARTBEAT_SERVER_LIMITS = HttpLimits(body_bytes=4 * 1024 * 1024, connections=32)
+HEARTBEAT_SERVER_LIMITS = HttpLimits(
+    header_bytes=16_384,
+    body_bytes=4 * 1024 * 1024,
+    header_timeout_s=3.0,
+    request_timeout_s=60.0,
+    connections=32,
+)
 # A killed entry restarts within about 1 s, and agents must reconnect to it at once:
 # for the first 40 failures, the delay between attempts is at most 120 ms. An entry that
 # is away for longer may have been removed for good; the delay then grows to 1 s.
@@ -64,6 +72,12 @@
         int(time.time() * MS_PER_S),
         settings.grace_ms,
     )
+    budget_bytes = client_budget_bytes(
+        settings.memory_mb,
+        HEARTBEAT_SERVER_LIMITS.connections,
+        HEARTBEAT_SERVER_LIMITS.body_bytes,
+    )
+    guard = ClientGuard(loop, budget_bytes, state.counters)
     parts = AgentParts(
         loop=loop,
         core=BurstAgentCore(state),
@@ -78,9 +92,12 @@
             settings.worker_reports,
             HeartbeatApplication(mailbox, settings.service).handle,
             HEARTBEAT_SERVER_LIMITS,
+            guard,
         ),
         background_parts=(common.entries_watch,),
-        metrics_server=MetricsServer(loop, settings.ip, state.counters, metrics_port),
+        metrics_server=MetricsServer(
+            loop, settings.ip, state.counters, metrics_port, guard
+        ),
         log=common.log,
         settings_watch=common.settings_watch,
     )
--- a/src/sardineferry/deployment/entry.py
+++ b/src/sardineferry/deployment/entry.py
@@ -7,10 +7,13 @@
 from sardineferry.burst.entry import BurstEntryProcess
 from sardineferry.burst.entry import EntryParts
 from sardineferry.burst.entry import readiness_handler
+from sardineferry.client_budget import client_budget_bytes
+from sardineferry.decision.burst.configuration import EdgeLimits
 from sardineferry.decision.burst.entry import BurstEntryCore
 from sardineferry.decision.burst.entry import BurstEntryState
 from sardineferry.deployment.common_parts import build_common_parts
 from sardineferry.incarnation import new_incarnation
+from sardineferry.loop import ClientGuard
 from sardineferry.messages.burst import CODEC
 from sardineferry.messages.burst import EntryEndpoint
 from sardineferry.metrics_server import MetricsServer
@@ -44,8 +47,16 @@
 MIN_CALLER_CONNECTIONS = 64
 MAX_CALLER_CONNECTIONS = 4_000
 READINESS_SERVER_LIMITS = HttpLimits(
-    header_bytes=8_192, body_bytes=1_024, connections=32
+    header_bytes=8_192,
+    body_bytes=1_024,
+    header_timeout_s=3.0,
+    request_timeout_s=15.0,
+    connections=32,
 )
+# The longest time for a whole request: several times the configuration's idle timeout,
+# so that a caller may use that more than once.
+REQUEST_TIMEOUT_S = 60.0
+MS_PER_S = 1_000
 # How long a read of the configuration topic waits for a new record. A dead
 # connection to the store is noticed only after this time and the call's own timeout,
 # and a new configuration has to be in force within 2 s.
@@ -61,6 +72,22 @@
     )
 
 
+def first_caller_limits(connections: int) -> HttpLimits:
+    """Return the limits for callers until the first configuration has been read.
+
+    They are those of a configuration that states none.
+    """
+    limits = EdgeLimits()
+    return HttpLimits(
+        header_bytes=limits.header_bytes,
+        body_bytes=limits.body_bytes,
+        header_timeout_s=limits.header_timeout_ms / MS_PER_S,
+        idle_timeout_s=limits.idle_timeout_ms / MS_PER_S,
+        request_timeout_s=REQUEST_TIMEOUT_S,
+        connections=connections,
+    )
+
+
 def build(
     settings: DeploymentSettings, path: Path, metrics_port: int
 ) -> BurstEntryProcess:
@@ -92,31 +119,43 @@
         common.random,
         configuration_handler(mailbox),
     )
-    caller_limits = HttpLimits(
-        connections=max_caller_connections(settings.memory_mb, settings.descriptors)
+    connections = max_caller_connections(settings.memory_mb, settings.descriptors)
+    caller_limits = first_caller_limits(connections)
+    budget_bytes = client_budget_bytes(
+        settings.memory_mb, connections, caller_limits.body_bytes
     )
+    guard = ClientGuard(loop, budget_bytes, state.counters)
     parts = EntryParts(
         loop=loop,
         core=BurstEntryCore(state),
         mailbox=mailbox,
         links=common.links,
-        listener=LinkListener(loop, settings.links, CODEC, mailbox, common.links),
+        listener=LinkListener(
+            loop, settings.links, CODEC, mailbox, common.links, guard
+        ),
         pending_requests=pending_requests,
         caller_server=HttpServer(
             loop,
             settings.callers,
             CallerApplication(mailbox, pending_requests).handle,
             caller_limits,
+            guard,
         ),
         readiness_server=HttpServer(
-            loop, settings.readiness, readiness_handler(state), READINESS_SERVER_LIMITS
+            loop,
+            settings.readiness,
+            readiness_handler(state),
+            READINESS_SERVER_LIMITS,
+            guard,
         ),
         background_parts=(
             config_watch,
             common.entries_watch,
             entry_registration(loop, common.store, endpoint),
         ),
-        metrics_server=MetricsServer(loop, settings.ip, state.counters, metrics_port),
+        metrics_server=MetricsServer(
+            loop, settings.ip, state.counters, metrics_port, guard
+        ),
         log=common.log,
         settings_watch=common.settings_watch,
     )
--- a/src/sardineferry/entry/process.py
+++ b/src/sardineferry/entry/process.py
@@ -5,6 +5,7 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
+from sardineferry.client_budget import client_budget_bytes
 from sardineferry.core_loop import CoreLoop
 from sardineferry.decision import effects
 from sardineferry.decision.claims import CLAIM_STREAM
@@ -14,6 +15,7 @@
 from sardineferry.entry.application import EntryApplication
 from sardineferry.entry.requests import MAX_BODY_BYTES
 from sardineferry.logs import part_logger
+from sardineferry.loop import ClientGuard
 from sardineferry.messages.wire import CODEC
 from sardineferry.platform.log_tail import LogTail
 from sardineferry.platform.store import StoreClient
@@ -75,15 +77,21 @@
             loop, mailbox, settings.teams, self.dump, settings.http_threads
         )
         self.application.current_preset = self.current_preset
-        self.listener = LinkListener(loop, settings.listen, CODEC, mailbox, links)
+        connections = CONNECTIONS_PER_WAITING_CALLER * settings.http_threads
+        guard = ClientGuard(
+            loop,
+            client_budget_bytes(settings.memory_mb, connections, MAX_BODY_BYTES),
+            core.state.counters,
+        )
+        self.listener = LinkListener(
+            loop, settings.listen, CODEC, mailbox, links, guard
+        )
         self.caller_server = HttpServer(
             loop,
             settings.http,
             self.application.handle,
-            HttpLimits(
-                body_bytes=MAX_BODY_BYTES,
-                connections=CONNECTIONS_PER_WAITING_CALLER * settings.http_threads,
-            ),
+            HttpLimits(body_bytes=MAX_BODY_BYTES, connections=connections),
+            guard,
         )
         store = StoreClient(loop, settings.log)
         self.tails = {
--- a/src/sardineferry/metrics_page.py
+++ b/src/sardineferry/metrics_page.py
@@ -8,18 +8,24 @@
 from prometheus_client import CollectorRegistry
 from prometheus_client import generate_latest
 from prometheus_client.core import CounterMetricFamily
+from prometheus_client.core import GaugeMetricFamily
 from prometheus_client.core import HistogramMetricFamily
 
 from sardineferry.latencies import BUCKET_BOUNDS_MS
 
 if TYPE_CHECKING:
     from collections import Counter
+    from collections.abc import Callable
     from collections.abc import Iterator
+    from collections.abc import Mapping
 
     from prometheus_client import Metric
 
     from sardineferry.latencies import LatencyHistograms
 
+    # Returns values that can also fall, by name.
+    Gauges = Callable[[], Mapping[str, int]]
+
 __all__ = ["MetricsPage"]
 
 MS_PER_S = 1_000
@@ -28,10 +34,13 @@
 class ProcessCollector:
     """A Prometheus collector for a core's counters and its process's latencies."""
 
-    def __init__(self, counters: Counter[str], latencies: LatencyHistograms) -> None:
+    def __init__(
+        self, counters: Counter[str], latencies: LatencyHistograms, gauges: Gauges
+    ) -> None:
         """Use the tables that the loop's thread keeps updating."""
         self.counters = counters
         self.latencies = latencies
+        self.gauges = gauges
 
     def collect(self) -> Iterator[Metric]:
         """Yield all metrics with their current values."""
@@ -39,6 +48,10 @@
             yield CounterMetricFamily(
                 f"sardineferry_{name}", name.replace("_", " "), value=value
             )
+        for name, value in sorted(self.gauges().items()):
+            yield GaugeMetricFamily(
+                f"sardineferry_{name}", name.replace("_", " "), value=value
+            )
         yield self.latency_histogram()
 
     def latency_histogram(self) -> Metric:
@@ -59,10 +72,15 @@
 class MetricsPage:
     """The metrics of one process as a page of text."""
 
-    def __init__(self, counters: Counter[str], latencies: LatencyHistograms) -> None:
-        """Register the counters and the latencies."""
+    def __init__(
+        self,
+        counters: Counter[str],
+        latencies: LatencyHistograms,
+        gauges: Gauges = dict,
+    ) -> None:
+        """Register the counters, the latencies and the present values of ``gauges``."""
         self.registry = CollectorRegistry()
-        self.registry.register(ProcessCollector(counters, latencies))
+        self.registry.register(ProcessCollector(counters, latencies, gauges))
 
     def text(self) -> bytes:
         """Return all metrics with their current values."""
--- a/src/sardineferry/metrics_server.py
+++ b/src/sardineferry/metrics_server.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sardineferry.latencies import LatencyHistograms
+from sardineferry.loop import ClientGuard
 from sardineferry.web import HttpLimits
 from sardineferry.web import HttpResponse
 from sardineferry.web import HttpServer
@@ -23,7 +24,13 @@
 
 # The port that the deploy file names.
 METRICS_PORT = 9464
-LIMITS = HttpLimits(header_bytes=8_192, body_bytes=1_024, connections=16)
+LIMITS = HttpLimits(
+    header_bytes=8_192,
+    body_bytes=1_024,
+    header_timeout_s=3.0,
+    request_timeout_s=15.0,
+    connections=16,
+)
 HEADERS = (("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),)
 
 
@@ -36,9 +43,14 @@
     """
 
     def __init__(
-        self, loop: IoLoop, host: str, counters: Counter[str], port: int
+        self,
+        loop: IoLoop,
+        host: str,
+        counters: Counter[str],
+        port: int,
+        guard: ClientGuard | None = None,
     ) -> None:
-        """Bind the address.
+        """Bind the address; ``guard`` is the one of the process's listeners.
 
         Raises:
             AddressError: The address can't be bound.
@@ -51,7 +63,8 @@
         self.loader: threading.Thread | None = None
         # Requests to be answered once the library is loaded.
         self.waiting_requests: list[Exchange] = []
-        self.http = HttpServer(loop, f"{host}:{port}", self.handle, LIMITS)
+        self.guard = ClientGuard(loop) if guard is None else guard
+        self.http = HttpServer(loop, f"{host}:{port}", self.handle, LIMITS, self.guard)
 
     def start(self) -> None:
         """Start accepting connections."""
@@ -74,7 +87,7 @@
         """Import the metrics library; runs in the ``loader`` thread."""
         from sardineferry.metrics_page import MetricsPage
 
-        page = MetricsPage(self.counters, self.latencies)
+        page = MetricsPage(self.counters, self.latencies, self.guard.gauges)
         self.loop.post(lambda: self.handle_loaded(page))
 
     def handle_loaded(self, page: MetricsPage) -> None:
--- a/src/sardineferry/platform/callers.py
+++ b/src/sardineferry/platform/callers.py
@@ -99,9 +99,17 @@
         step.tasks < 1 or min(resources_per_task(step)) < 0 for step in submitted.steps
     ):
         return Failure("Count must be positive, and no need negative")
-    steps = tuple(to_burst_step(step) for step in submitted.steps)
+    unsupported = first_unsupported_feature(submitted)
+    # A job with an unsupported feature is refused. One of its steps is enough for that;
+    # a body of 256 KiB can have 87,000, which take 13 MB.
+    steps = submitted.steps[:1] if unsupported else submitted.steps
     return Success(
-        BurstJob(job_id, submitted.spec, steps, first_unsupported_feature(submitted))
+        BurstJob(
+            job_id,
+            submitted.spec,
+            tuple(to_burst_step(step) for step in steps),
+            unsupported,
+        )
     )
 
 
--- a/src/sardineferry/settings/entry.py
+++ b/src/sardineferry/settings/entry.py
@@ -16,8 +16,8 @@
     may have running over all entries. ``http_threads`` limits the requests that
     wait at the entry, which take no threads. ``drain_linger_ms`` is the delay
     between the signal to drain and the start of draining. ``memory_mb`` is the
-    memory of the machine; nothing is derived from it yet. ``EntryPolicy`` explains
-    the other limits.
+    memory of the machine, from which the byte budget for clients is derived.
+    ``EntryPolicy`` explains the other limits.
     """
 
     name: str
