--- a/src/sardineferry/metrics_server.py
+++ b/src/sardineferry/metrics_server.py
@@ -5,7 +5,9 @@
 import threading
 from typing import TYPE_CHECKING
 
+from sardineferry.decision.gauges import Gauge
 from sardineferry.latencies import LatencyHistograms
+from sardineferry.loop import ClientGuard
 from sardineferry.web import HttpLimits
 from sardineferry.web import HttpResponse
 from sardineferry.web import HttpServer
@@ -16,7 +18,6 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
-    from sardineferry.decision.gauges import Gauge
     from sardineferry.loop import IoLoop
     from sardineferry.metrics_page import MetricsPage
     from sardineferry.web import Exchange
@@ -26,7 +27,13 @@
 
 # The port that the deploy file names.
 METRICS_PORT = 9464
-LIMITS = HttpLimits(header_bytes=8_192, body_bytes=1_024, connections=16)
+LIMITS = HttpLimits(
+    header_bytes=8_192,
+    body_bytes=1_024,
+    header_timeout_s=3.0,
+    request_timeout_s=15.0,
+    connections=16,
+)
 HEADERS = (("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),)
 
 
@@ -45,8 +52,11 @@
         counters: Counter[str],
         port: int,
         read_gauges: Callable[[], Iterable[Gauge]] = tuple,
+        guard: ClientGuard | None = None,
     ) -> None:
-        """Bind the address; ``read_gauges`` is called for each page.
+        """Bind the address; ``guard`` is the one of the process's listeners.
+
+        ``read_gauges`` is called for each page.
 
         Raises:
             AddressError: The address can't be bound.
@@ -60,7 +70,8 @@
         self.loader: threading.Thread | None = None
         # Requests to be answered once the library is loaded.
         self.waiting_requests: list[Exchange] = []
-        self.http = HttpServer(loop, f"{host}:{port}", self.handle, LIMITS)
+        self.guard = ClientGuard(loop) if guard is None else guard
+        self.http = HttpServer(loop, f"{host}:{port}", self.handle, LIMITS, self.guard)
 
     def start(self) -> None:
         """Start accepting connections."""
@@ -83,9 +94,15 @@
         """Import the metrics library; runs in the ``loader`` thread."""
         from sardineferry.metrics_page import MetricsPage
 
-        page = MetricsPage(self.counters, self.latencies, self.read_gauges)
+        page = MetricsPage(self.counters, self.latencies, self.read_all_gauges)
         self.loop.post(lambda: self.handle_loaded(page))
 
+    def read_all_gauges(self) -> Iterable[Gauge]:
+        """Return the gauges of the process, and those of its guard."""
+        for name, value in self.guard.gauges().items():
+            yield Gauge(name, name.replace("_", " "), "", {"": value})
+        yield from self.read_gauges()
+
     def handle_loaded(self, page: MetricsPage) -> None:
         """Keep the loaded page and answer the requests that wait for it."""
         self.page = page
