Simulate loads on uneven workers

The simulation of burst loads had fixed kinds of jobs, even traffic and answers to all start requests.

--- a/bench/virtual/burst_load.py
+++ b/bench/virtual/burst_load.py
@@ -129,6 +129,8 @@
 # The platform shortens longer leases to this.
 MAX_HOLD_MS = 1_000
 WORKER_ID = "w"
+# An agent takes a start request for lost after this time.
+START_TIMEOUT_MS = 40
 # Copies of a request may arrive after these replies.
 ANSWERED_ONCE = (ReplyKind.COMPLETED, ReplyKind.FAILED, ReplyKind.CANCELLED)
 # These acknowledge a cancellation.
@@ -184,7 +186,7 @@
 
     ``utilization`` is the share of the workers' capacity that the load uses on
     average, without bursts. ``task_cpu`` is the mean need of a task, in
-    thousandths of a core.
+    thousandths of a core, and ``kinds`` are the kinds of jobs.
     """
 
     data_centres: int = 3
@@ -192,6 +194,7 @@
     workers: int = 11
     utilization: float = 0.7
     task_cpu: int = 6_200
+    kinds: tuple[JobKind, ...] = JOB_KINDS
 
 
 class Heterogeneity(NamedTuple):
@@ -582,7 +585,7 @@
             "i",
             endpoint.data_centre,
             DRAIN_GRACE_MS,
-            decode_configuration,
+            simulation.decode_configuration,
             random.Random(seed),
         )
         self.endpoint = endpoint
@@ -598,7 +601,7 @@
             self.endpoint.incarnation,
             self.endpoint.data_centre,
             DRAIN_GRACE_MS,
-            decode_configuration,
+            self.simulation.decode_configuration,
             random.Random(self.simulation.fault_random.random()),
         )
         self.start_again(BurstEntryCore(state))
@@ -777,6 +780,13 @@
     def start_run(self, order: StartRun) -> None:
         """Start a run unless it is refused, and answer."""
         sent_ms = self.now_ms()
+        share = self.simulation.unanswered_share
+        if share and self.simulation.fault_random.random() < share:
+            lost = StartAnswered(order.run, StartAnswer.UNANSWERED, sent_ms, None)
+            self.simulation.clock.run_after(
+                START_TIMEOUT_MS, partial(self.answer_agent, lost)
+            )
+            return
         answer = self.try_start(order)
         clock_ms = self.worker_clock_ms() if self.is_worker_up else None
         self.answer_agent(StartAnswered(order.run, answer, sent_ms, clock_ms))
@@ -933,11 +943,13 @@
         )
 
 
-def decode_configuration(_text: bytes) -> Result[Configuration, str]:
-    """Return the configuration of all simulations: a route for each kind of job."""
+def make_configuration(
+    kinds: tuple[JobKind, ...], _text: bytes
+) -> Result[Configuration, str]:
+    """Return the configuration of a simulation: a route for each kind of job."""
     routes = tuple(
         Route(kind.name, HOST, kind.path, "desk", 0, GOAL_MS, 4, SLACK_FACTOR, 0, False)
-        for kind in JOB_KINDS
+        for kind in kinds
     )
     return Success(Configuration(1, routes, EdgeLimits(), b"1"))
 
@@ -1014,6 +1026,9 @@
         self.size = size
         self.heterogeneity = heterogeneity
         self.worker_limits = worker_limits
+        self.decode_configuration = partial(make_configuration, size.kinds)
+        # The share of start requests that the worker never gets.
+        self.unanswered_share = 0.0
         self.random = random.Random(seed)
         self.fault_random = random.Random(-seed)
         self.entries: dict[str, EntryNode] = {}
@@ -1290,6 +1305,10 @@
             agent.total.cpu * agent.speed for agent in self.agents.values()
         )
 
+    def choose_entry(self) -> EntryNode:
+        """Choose the entry of the next job."""
+        return self.random.choice(list(self.entries.values()))
+
     def submit(self, token: int, kind: JobKind) -> None:
         """Draw a random job and submit it to a random entry."""
         heterogeneity, rng = self.heterogeneity, self.random
@@ -1319,7 +1338,7 @@
             tasks, Resources(cpu, 1, 0), max(1, int(estimate_ms)), "", "", 0
         )
         job = BurstJob(job_id, "", (step,), "")
-        entry = rng.choice(list(self.entries.values()))
+        entry = self.choose_entry()
         self.send_job(token, Caller(token, f"{kind.path}{job_id}", job, entry))
         if self.cancel_policy is not None:
             delay_ms = self.cancel_policy.draw_cancel_delay_ms(self.fault_random)
@@ -1371,13 +1390,13 @@
     # Jobs of a kind are submitted at rate_scale times its relative rate, per ms. So
     # all kinds together need the wanted share of the capacity on average.
     need_per_rate = size.task_cpu * sum(
-        kind.relative_rate * kind.tasks * kind.work_ms for kind in JOB_KINDS
+        kind.relative_rate * kind.tasks * kind.work_ms for kind in size.kinds
     )
     rate_scale = (
         size.utilization * simulation.capacity_per_second() / 1_000 / need_per_rate
     )
     tokens = itertools.count(1)
-    for kind in JOB_KINDS:
+    for kind in size.kinds:
         at_ms = load_start_ms
         while True:
             rate = rate_scale * kind.relative_rate
@@ -1449,7 +1468,9 @@
     Jobs are grouped by the two-second window in which they were submitted; the
     first window begins at ``load_start_ms``.
     """
-    counts: dict[str, Counter[str]] = {kind.name: Counter() for kind in JOB_KINDS}
+    counts: dict[str, Counter[str]] = {
+        kind.name: Counter() for kind in simulation.size.kinds
+    }
     worth_by_window: dict[int, list[float]] = {}
     response_times_ms = []
     for token, request in simulation.requests.items():
