Run jobs near their data

Cause: a job's DataRack was parsed but not used. In the deployments of docs/design/load-and-limits.md a task takes 2 or 3 times as long in another rack. Its worker then also seemed slower than it is, as the slowdown is learned from all runs.

Change: for a job that names a rack, workers of other racks count as slower by the setting RemoteFactor under Bounds (default 1, which changes nothing), and orders to them state the longer work that is expected there. A worker without a rack label counts as remote.

--- a/bench/virtual/burst_load.py
+++ b/bench/virtual/burst_load.py
@@ -60,6 +60,7 @@
 from sardineferry.decision.burst.worker import StopAnswered
 from sardineferry.decision.burst.worker import StopRun
 from sardineferry.decision.burst.worker import WorkerReported
+from sardineferry.decision.burst.worker_choice import data_factor
 from sardineferry.decision.common_effects import Connect
 from sardineferry.decision.common_effects import Send
 from sardineferry.decision.common_events import LinkDown
@@ -204,7 +205,8 @@
     at size 1 a worker has ``cpu`` thousandths of a core. ``work_sigma`` and
     ``estimate_sigma`` are the standard deviations of the logarithms of a job's
     work and of the caller's estimate of it. The work of each task differs from
-    that of its job by a share of up to ``task_variation``.
+    that of its job by a share of up to ``task_variation``. A share of the jobs has its
+    data in a rack; in other racks, runs of these take ``remote_factor`` times as long.
     """
 
     size_factors: tuple[float, ...] = (1.0, 1.0, 1.5)
@@ -213,6 +215,9 @@
     work_sigma: float = 0.4
     task_variation: float = 0.15
     estimate_sigma: float = 0.4
+    data_share: float = 0.0
+    remote_factor: float = 1.0
+    rack_size: int = 8
 
 
 DEFAULT_SIZE = DeploymentSize()
@@ -587,6 +592,7 @@
             DRAIN_GRACE_MS,
             simulation.decode_configuration,
             random.Random(seed),
+            simulation.heterogeneity.remote_factor,
         )
         self.endpoint = endpoint
         super().__init__(simulation, endpoint.address, BurstEntryCore(state))
@@ -603,6 +609,7 @@
             DRAIN_GRACE_MS,
             self.simulation.decode_configuration,
             random.Random(self.simulation.fault_random.random()),
+            self.simulation.heterogeneity.remote_factor,
         )
         self.start_again(BurstEntryCore(state))
         self.handle(ConfigurationRead(b"1"), "")
@@ -635,11 +642,14 @@
         data_centre: str,
         speed: float,
         cpu: int,
+        labels: tuple[str, ...] = (),
     ) -> None:
         """Create an agent without links, and its worker."""
         state = BurstAgentState(name, "i", data_centre, "desk", 1, DRAIN_GRACE_MS)
         self.data_centre = data_centre
         self.speed = speed
+        # By default its kind, which stays when the speed changes.
+        self.labels = labels or (f"k{speed}",)
         self.total = Resources(cpu, 1_000_000, 0)
         self.worker_born_ms = 1
         # When the worker's clock showed 0.
@@ -700,7 +710,7 @@
             1,
             "desk",
             self.total,
-            (f"k{self.speed}",),
+            self.labels,
             False,
             self.worker_clock_ms(),
         )
@@ -806,7 +816,7 @@
             return StartAnswer.SUPERSEDED
         if self.worker_clock_ms() > order.lease_until_ms:
             return StartAnswer.LATE
-        work_ms = self.simulation.true_work_ms(order.run)
+        work_ms = self.simulation.work_ms_at(self, order.run)
         start_ms = self.simulation.clock.now_ms
         self.run_start_ms[order.run] = start_ms
         self.lease_until_ms[order.run] = 0
@@ -915,7 +925,7 @@
 
     def progress_percent(self, run: RunRef) -> int:
         """Return the progress of a run in percent, at most 99."""
-        work_ms = self.simulation.true_work_ms(run) / self.speed
+        work_ms = self.simulation.work_ms_at(self, run) / self.speed
         return min(
             99,
             int(
@@ -1036,6 +1046,11 @@
         self.end_counts: Counter[str] = Counter()
         self.requests: dict[int, Request] = {}
         self.requests_by_job_id: dict[str, Request] = {}
+        self.racks_by_job_id: dict[str, str] = {}
+        self.racks = [
+            f"rack{number}"
+            for number in range(-(-size.workers // heterogeneity.rack_size))
+        ]
         self.replies: dict[int, tuple[ReplyKind, float]] = {}
         self.start_messages = 0
         # With faults, callers that get no answer submit again, and links break.
@@ -1077,7 +1092,9 @@
             (number * 7 // 3) % len(heterogeneity.speed_factors)
         ]
         data_centre = f"dc{number % self.size.data_centres}"
-        agent = AgentNode(self, f"a{number}", data_centre, speed, cpu)
+        rack = self.racks[number // heterogeneity.rack_size]
+        labels = (f"k{speed}", rack)
+        agent = AgentNode(self, f"a{number}", data_centre, speed, cpu, labels)
         self.agents[agent.name] = agent
         agent.report_worker()
         for address in self.initial_addresses(agent):
@@ -1228,6 +1245,20 @@
         job_id, _, _, index = run.task.split(".")
         return self.requests_by_job_id[job_id].work_ms[int(index)]
 
+    def work_ms_at(self, agent: AgentNode, run: RunRef) -> float:
+        """Return the work of a run at a worker, in ms at speed 1."""
+        job_id = run.task.partition(".")[0]
+        rack = self.racks_by_job_id.get(job_id, "")
+        factor = data_factor(agent.labels, rack, self.heterogeneity.remote_factor)
+        return self.true_work_ms(run) * factor
+
+    def draw_rack(self) -> str:
+        """Draw the rack of a job's data; empty if it names none."""
+        share = self.heterogeneity.data_share
+        if not share or self.random.random() >= share:
+            return ""
+        return self.random.choice(self.racks)
+
     def record_reply(self, effect: BurstReply) -> None:
         """Record the reply to a caller that waits for it, and its time.
 
@@ -1334,8 +1365,9 @@
         job_id = f"{token:016x}"
         self.requests[token] = request
         self.requests_by_job_id[job_id] = request
+        rack = self.racks_by_job_id[job_id] = self.draw_rack()
         step = BurstStep(
-            tasks, Resources(cpu, 1, 0), max(1, int(estimate_ms)), "", "", 0
+            tasks, Resources(cpu, 1, 0), max(1, int(estimate_ms)), "", rack, 0
         )
         job = BurstJob(job_id, "", (step,), "")
         entry = self.choose_entry()
--- a/bench/virtual/uneven_workers.py
+++ b/bench/virtual/uneven_workers.py
@@ -142,6 +142,12 @@
     Heterogeneity(speed_factors=(0.8, 1.0, 1.25), cpu=32_000),
     Wave(0.55, 13_000),
 )
+METER_DATA = METER._replace(
+    heterogeneity=METER.heterogeneity._replace(data_share=0.3, remote_factor=3.0)
+)
+MAPS_DATA = MAPS._replace(
+    heterogeneity=MAPS.heterogeneity._replace(data_share=0.3, remote_factor=2.0)
+)
 SLOW = (WorkerSlow(2_000, 4_000, ("a2", "a7"), 6.0),)
 LOADS: dict[str, UnevenLoad] = {
     "meter calm": METER,
@@ -152,6 +158,8 @@
     "meter all 1.5": METER._replace(bursts=(Burst(2_000, 2_000, 1.5),)),
     "meter all 2": METER._replace(bursts=(Burst(2_000, 2_000, 2.0),)),
     "meter slow workers": METER._replace(faults=SLOW),
+    "meter data": METER_DATA,
+    "maps data": MAPS_DATA,
     "maps calm": MAPS,
     "maps all 2.2": MAPS._replace(bursts=(Burst(2_000, 2_000, 2.2),)),
     "maps slow workers": MAPS._replace(faults=SLOW),
--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -21,12 +21,16 @@
 from sardineferry.decision.burst.placement import is_capacity_scarce
 from sardineferry.decision.burst.placement import place_tasks
 from sardineferry.decision.burst.placement import rank_candidates
+from sardineferry.decision.burst.worker_choice import DEFAULT_REMOTE_FACTOR
 from sardineferry.decision.burst.worker_choice import LIKELY_LATE
 from sardineferry.decision.burst.worker_choice import JobTimes
+from sardineferry.decision.burst.worker_choice import data_factor
 from sardineferry.decision.burst.worker_choice import expected_wait_ms
+from sardineferry.decision.burst.worker_choice import is_in_rack
 from sardineferry.decision.burst.worker_choice import lateness_class
 from sardineferry.decision.burst.worker_choice import max_wait_ms
 from sardineferry.decision.burst.worker_choice import slowdown_limits
+from sardineferry.decision.burst.worker_choice import slowdowns_with_data
 from sardineferry.decision.common_effects import Send
 from sardineferry.messages.burst import StartRuns
 from sardineferry.messages.burst import WatchRoom
@@ -114,7 +118,7 @@
         preferred = preferred_agents(
             state,
             job,
-            EligibleAgents(views, eligible.slowdowns),
+            EligibleAgents(views, job_slowdowns(state, job, eligible)),
             limits,
             cpu_ahead,
             now_ms,
@@ -207,6 +211,21 @@
     return EligibleAgents(chosen or fast, slowdowns)
 
 
+def job_slowdowns(
+    state: BurstEntryState, job: ActiveJob, eligible: EligibleAgents
+) -> dict[str, float]:
+    """Return the workers' slowdowns for a job, with what the way to its data costs."""
+    rack = job.step.preferred_rack
+    if not rack or state.remote_factor == DEFAULT_REMOTE_FACTOR:
+        return eligible.slowdowns
+    in_rack = [
+        view.name
+        for view in eligible.views
+        if view.profile is not None and is_in_rack(view.profile.labels, rack)
+    ]
+    return slowdowns_with_data(eligible.slowdowns, in_rack, state.remote_factor)
+
+
 def job_times(route: Route, step: BurstStep) -> JobTimes:
     """Return what is known of the times of a job."""
     return JobTimes.of_tasks(
@@ -323,7 +342,10 @@
         if task.attempt
     }
     is_repeat = job.may_be_copy or job.ran_before or any(task.attempt for task in tasks)
-    is_reported = is_repeat or step.estimate_ms >= timing.LASTING_RUN_MS
+    labels = view.profile.labels if view.profile is not None else ()
+    factor = data_factor(labels, step.preferred_rack, state.remote_factor)
+    estimate_ms = round(step.estimate_ms * factor)
+    is_reported = is_repeat or estimate_ms >= timing.LASTING_RUN_MS
     for task in tasks:
         task.attempt += 1
         task.end_proof = None
@@ -346,12 +368,14 @@
         tuple(job.run_ref(task) for task in tasks),
         job.job.spec,
         step.need,
-        step.estimate_ms,
+        estimate_ms,
         movable=not any(task.stalled for task in tasks),
         is_repeat=is_repeat,
     )
     state.effects.append(Send(view.name, message))
     state.counters["runs_ordered"] += len(tasks)
+    if factor != 1.0:
+        state.counters["runs_ordered_far_from_data"] += len(tasks)
     fields: dict[str, object] = {
         "job": job.job.job_id,
         # Before the rest, as some platforms cut off lines.
@@ -364,5 +388,6 @@
         # A slowdown: higher is slower.
         "speed": round(state.worker_slowdowns.slowdown(view.name, view.kind()), 2),
         "stamp_age_ms": timestamp_age_ms,
+        **({"data_factor": factor} if factor != 1.0 else {}),
     }
     state.effects.append(LogDecision("runs ordered", fields))
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -20,6 +20,7 @@
 from sardineferry.decision.burst.requests import SubmitJob
 from sardineferry.decision.burst.run_relay import RunRelay
 from sardineferry.decision.burst.slowdown import WorkerSlowdowns
+from sardineferry.decision.burst.worker_choice import DEFAULT_REMOTE_FACTOR
 from sardineferry.decision.circuit_breaker import CircuitBreaker
 from sardineferry.decision.moving_average import MovingAverage
 from sardineferry.messages.burst import Resources
@@ -430,6 +431,7 @@
         grace_ms: int,
         decode_configuration: Callable[[bytes], Result[Configuration, str]],
         random: Random,
+        remote_factor: float = DEFAULT_REMOTE_FACTOR,
     ) -> None:
         """Create the state without a configuration, agents or jobs."""
         self.name = name
@@ -466,6 +468,8 @@
         # The latest jobs that were cancelled here, with the times.
         self.cancellations: deque[tuple[int, str]] = deque(maxlen=MAX_CANCELLATIONS)
         self.worker_slowdowns = WorkerSlowdowns()
+        # By which factor runs outside the rack of their data take longer.
+        self.remote_factor = remote_factor
         # The average time of the runs that this entry ordered.
         self.run_time = MovingAverage(INITIAL_RUN_MS, RUN_TIME_WEIGHT)
         self.next_order = 1
--- a/src/sardineferry/decision/burst/requests.py
+++ b/src/sardineferry/decision/burst/requests.py
@@ -25,7 +25,7 @@
     """A number of identical tasks.
 
     An empty label or a ``spread_limit`` of 0 means no constraint. ``preferred_rack``
-    is not used by placement.
+    is where the data of the tasks is; empty if it is not known.
     """
 
     tasks: int
--- a/src/sardineferry/deployment/entry.py
+++ b/src/sardineferry/deployment/entry.py
@@ -79,6 +79,7 @@
         settings.grace_ms,
         decode_configuration,
         common.random,
+        settings.remote_factor,
     )
     endpoint = EntryEndpoint(
         settings.name, settings.links, settings.data_centre, state.incarnation
--- a/src/sardineferry/platform/settings.py
+++ b/src/sardineferry/platform/settings.py
@@ -32,9 +32,10 @@
 
 
 class BoundsSection(msgspec.Struct):
-    """Time limits that the platform sets."""
+    """Time limits that the platform sets, and how much slower remote data is."""
 
     grace_s: float = msgspec.field(name="GraceS", default=6.0)
+    remote_factor: float = msgspec.field(name="RemoteFactor", default=1.0)
 
 
 class LimitsSection(msgspec.Struct):
@@ -141,6 +142,7 @@
         service=fields.service,
         store=fields.store.address,
         grace_ms=int(fields.bounds.grace_s * MS_PER_S),
+        remote_factor=max(1.0, fields.bounds.remote_factor),
         memory_mb=fields.limits.memory_mb,
         descriptors=fields.limits.descriptors,
     )
--- a/src/sardineferry/settings/deployment.py
+++ b/src/sardineferry/settings/deployment.py
@@ -35,3 +35,5 @@
     # may have open.
     memory_mb: int
     descriptors: int
+    # By which factor runs outside the rack of their data take longer.
+    remote_factor: float = 1.0
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -203,6 +203,18 @@
     assert (found.grace_ms, found.worker) == (6_000, "")
 
 
+@pytest.mark.parametrize(
+    ("bounds", "factor"),
+    [({"GraceS": 6}, 1.0), ({"RemoteFactor": 3}, 3.0), ({"RemoteFactor": 0}, 1.0)],
+)
+def test_remote_factor_is_at_least_1(
+    tmp_path: Path, bounds: dict[str, float], factor: float
+) -> None:
+    path = tmp_path / "local.yaml"
+    path.write_text(json.dumps({**SETTINGS, "Bounds": bounds}))
+    assert load_deployment_settings(path).unwrap().remote_factor == factor
+
+
 @pytest.mark.parametrize(
     ("text", "path"),
     [
