Give few tasks to a worker that is lost again and again

Cause: a worker that goes down and up every second reports free capacity after each start, is filled, and loses the runs.

Change: an entry counts the losses of a worker's incarnations. After two losses within 10 s the worker may have one task of the entry, and one more after each run that ended well, until it is trusted again at eight or lost again. After a first loss it is used as before; if no worker is trusted, all are used as before. Agents send the worker's profile when they adopt a new incarnation, as its description says; they did not.

--- a/bench/virtual/uneven_workers.py
+++ b/bench/virtual/uneven_workers.py
@@ -20,6 +20,7 @@
 import cyclopts
 import msgspec
 
+from bench.virtual.burst_faults import WorkerCrash
 from bench.virtual.burst_load import Burst
 from bench.virtual.burst_load import BurstSimulation
 from bench.virtual.burst_load import DeploymentSize
@@ -149,6 +150,12 @@
     heterogeneity=MAPS.heterogeneity._replace(data_share=0.3, remote_factor=2.0)
 )
 SLOW = (WorkerSlow(2_000, 4_000, ("a2", "a7"), 6.0),)
+# Workers that go down and up every second.
+FLAPPING = tuple(
+    WorkerCrash(start_ms, agent, 1_000, 50)
+    for start_ms in range(1_000, 8_000, 2_000)
+    for agent in ("a2", "a7")
+)
 LOADS: dict[str, UnevenLoad] = {
     "meter calm": METER,
     "meter disconnects 2.3": METER._replace(
@@ -158,6 +165,8 @@
     "meter all 1.5": METER._replace(bursts=(Burst(2_000, 2_000, 1.5),)),
     "meter all 2": METER._replace(bursts=(Burst(2_000, 2_000, 2.0),)),
     "meter slow workers": METER._replace(faults=SLOW),
+    "meter flapping": METER._replace(faults=FLAPPING),
+    "maps flapping": MAPS._replace(faults=FLAPPING),
     "meter data": METER_DATA,
     "maps data": MAPS_DATA,
     "maps calm": MAPS,
--- a/src/sardineferry/decision/burst/agent_worker.py
+++ b/src/sardineferry/decision/burst/agent_worker.py
@@ -18,6 +18,9 @@
 from sardineferry.decision.burst.worker import WorkerLeft
 from sardineferry.decision.burst.worker import WorkerReported
 from sardineferry.messages.burst import ENDED_LOST
+from sardineferry.messages.burst import REASON_WORKER_REPLACED
+from sardineferry.messages.burst import REASON_WORKER_RESTARTED
+from sardineferry.messages.burst import REASON_WORKER_SILENT
 from sardineferry.messages.burst import Resources
 
 if TYPE_CHECKING:
@@ -198,6 +201,8 @@
         )
         lapsed_ms = state.lease_sent_ms + timing.LEASE_ENDED_AFTER_MS
         state.worker.predecessor_lapsed_ms = lapsed_ms
+        # Entries count how often the worker was lost.
+        send_profiles(state)
     state.capacity_changed = True
     # The incarnation must not count as silent before it has had time to answer.
     state.worker_answer_ms = now_ms
@@ -233,7 +238,7 @@
     """End the runs of a replaced worker whose lease must have lapsed."""
     for run in list(state.runs.values()):
         if run.lapsed_ms is not None and now_ms > run.lapsed_ms:
-            agent_runs.end_run(state, run, ENDED_LOST, "worker replaced", now_ms)
+            agent_runs.end_run(state, run, ENDED_LOST, REASON_WORKER_REPLACED, now_ms)
 
 
 def describe_change(
@@ -413,7 +418,7 @@
             agent_runs.end_run(state, run, end.how, end.how, now_ms)
     if len(event.ends) < MAX_ENDS_PER_LIST:
         restarted = succession is Succession.RESTARTED
-        reason = "worker restarted" if restarted else "not at the worker"
+        reason = REASON_WORKER_RESTARTED if restarted else "not at the worker"
         end_unlisted_runs(state, present, event, reason, now_ms)
     if worker is not None:
         worker.succession = None
@@ -576,4 +581,4 @@
         LogDecision("worker silent, the leases of its runs have lapsed", fields)
     )
     state.reconciled = False
-    agent_runs.end_all_runs_as_lost(state, "worker silent", now_ms)
+    agent_runs.end_all_runs_as_lost(state, REASON_WORKER_SILENT, now_ms)
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -28,6 +28,9 @@
 from sardineferry.messages.burst import ENDED_LOST
 from sardineferry.messages.burst import ENDED_REFUSED
 from sardineferry.messages.burst import REASON_STALLED
+from sardineferry.messages.burst import REASON_WORKER_REPLACED
+from sardineferry.messages.burst import REASON_WORKER_RESTARTED
+from sardineferry.messages.burst import REASON_WORKER_SILENT
 from sardineferry.messages.burst import AgentBeat
 from sardineferry.messages.burst import EntryBeat
 from sardineferry.messages.burst import EntryWelcome
@@ -55,6 +58,12 @@
     StartAnswer.REJECTED.value,
     StartAnswer.OTHER_INCARNATION.value,
 )
+# A run ends as lost for one of these reasons if its worker's incarnation was lost.
+REASONS_WORKER_LOST = (
+    REASON_WORKER_REPLACED,
+    REASON_WORKER_RESTARTED,
+    REASON_WORKER_SILENT,
+)
 # An agent without a link is removed when no message came from it for this long.
 FORGET_AGENT_MS = 120_000
 
@@ -127,8 +136,11 @@
 ) -> None:
     """Record the profile of an agent's worker."""
     view = state.record_contact(sender, now_ms)
-    if view is not None:
-        view.profile = event
+    if view is None:
+        return
+    previous, view.profile = view.profile, event
+    if previous is not None and 0 < previous.born_ms < event.born_ms:
+        record_worker_loss(state, view, previous.born_ms, now_ms)
 
 
 @handle_entry_event.register(WorkerRoom)
@@ -314,6 +326,7 @@
     job.had_run = True
     if event.how == ENDED_DONE:
         state.run_time.add(event.run_ms)
+        view.trust.record_success(now_ms)
         # Runs from before an ejection do not close the open breaker.
         if view.health.state != "open":
             view.health.record_success()
@@ -327,6 +340,8 @@
         retry_task(state, job, task, "failed", now_ms)
         return
     state.counters["runs_lost"] += 1
+    if event.reason in REASONS_WORKER_LOST and view.profile is not None:
+        record_worker_loss(state, view, view.profile.born_ms, now_ms)
     if event.reason == REASON_STALLED:
         task.stalled = True
         record_failure(state, view, now_ms)
@@ -358,6 +373,16 @@
         record_failure(state, view, now_ms)
 
 
+def record_worker_loss(
+    state: BurstEntryState, view: AgentView, born_ms: int, now_ms: int
+) -> None:
+    """Count the loss of an incarnation of a worker; several limit its tasks."""
+    if view.trust.record_loss(born_ms, now_ms):
+        state.once_distrusted.add(view.name)
+        state.counters["workers_distrusted"] += 1
+        log_agent(state, "worker distrusted after several losses", view, now_ms)
+
+
 def record_failure(state: BurstEntryState, view: AgentView, now_ms: int) -> None:
     """Count a failure of a worker that is not ejected; several in a row eject it."""
     if view.health.state == "open":
@@ -411,6 +436,7 @@
             state.effects.append(DropLink(view.name))
         if not view.linked and silent_ms > FORGET_AGENT_MS:
             del state.agents[view.name]
+            state.once_distrusted.discard(view.name)
             state.worker_slowdowns.forget(view.name)
 
 
--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -70,10 +70,14 @@
 
 
 class EligibleAgents(NamedTuple):
-    """Agents that may be sent orders, and their workers' slowdowns by agent name."""
+    """Agents that may be sent orders, and their workers' slowdowns by agent name.
+
+    ``limited`` names those whose workers may have only a few tasks.
+    """
 
     views: list[AgentView]
     slowdowns: dict[str, float]
+    limited: frozenset[str] = frozenset()
 
 
 def find_eligible_agents(state: BurstEntryState, now_ms: int) -> EligibleAgents:
@@ -83,11 +87,27 @@
         for view in state.agents.values()
         if can_receive_orders(state, view, now_ms)
     ]
+    limited = find_limited_agents(state, views, now_ms)
+    views = [
+        view
+        for view in views
+        if view.name not in limited or view.trust.tasks > len(view.runs)
+    ]
     slowdowns = {
         view.name: state.worker_slowdowns.slowdown(view.name, view.kind())
         for view in views
     }
-    return EligibleAgents(views, slowdowns)
+    return EligibleAgents(views, slowdowns, limited)
+
+
+def find_limited_agents(
+    state: BurstEntryState, views: list[AgentView], now_ms: int
+) -> frozenset[str]:
+    """Return the agents with distrusted workers; none if no worker is trusted."""
+    if not state.once_distrusted:
+        return frozenset()
+    limited = frozenset(view.name for view in views if view.trust.is_distrusted(now_ms))
+    return limited if len(limited) < len(views) else frozenset()
 
 
 def place_waiting_tasks(state: BurstEntryState, now_ms: int) -> None:
@@ -118,7 +138,9 @@
         preferred = preferred_agents(
             state,
             job,
-            EligibleAgents(views, job_slowdowns(state, job, eligible)),
+            eligible._replace(
+                views=views, slowdowns=job_slowdowns(state, job, eligible)
+            ),
             limits,
             cpu_ahead,
             now_ms,
@@ -178,14 +200,14 @@
     limit = limits[max(best_class, LIKELY_LATE - 1)]
     fast = [view for view in eligible.views if slowdowns[view.name] <= limit]
     if any(view.available.covers(need) for view in fast):
-        return EligibleAgents(fast, slowdowns)
+        return eligible._replace(views=fast)
     slow_with_capacity = [
         view
         for view in eligible.views
         if slowdowns[view.name] > limit and view.available.covers(need)
     ]
     if not slow_with_capacity:
-        return EligibleAgents(fast, slowdowns)
+        return eligible._replace(views=fast)
     wait_ms = expected_wait_ms(
         cpu_ahead + need.cpu * len(job.waiting_tasks()),
         sum(view.profile.total.cpu for view in fast if view.profile is not None),
@@ -195,7 +217,7 @@
     if not job.started and now_ms + wait_ms > job.latest_start_ms:
         # A late answer is better than none.
         state.counters["waits_avoided"] += 1
-        return EligibleAgents(slow_with_capacity, slowdowns)
+        return eligible._replace(views=slow_with_capacity)
     later_class = len(limits) - 1
     # The fast workers will be used in any case if other jobs wait for them, too.
     if not cpu_ahead:
@@ -208,7 +230,7 @@
         view for view in slow_with_capacity if slowdowns[view.name] <= later_limit
     ]
     state.counters["waits_for_faster_workers" if not chosen else "waits_avoided"] += 1
-    return EligibleAgents(chosen or fast, slowdowns)
+    return eligible._replace(views=chosen or fast)
 
 
 def job_slowdowns(
@@ -272,7 +294,7 @@
                 state,
                 job,
                 view,
-                eligible.slowdowns[view.name],
+                eligible,
                 limits,
                 avoided_agents,
                 now_ms,
@@ -293,17 +315,23 @@
     state: BurstEntryState,
     job: ActiveJob,
     view: AgentView,
-    slowdown: float,
+    eligible: EligibleAgents,
     limits: tuple[float, ...],
     avoided_agents: frozenset[str],
     now_ms: int,
 ) -> Candidate:
     """Describe a worker as a candidate for the tasks of a job."""
-    # An ejected worker is probed with a single task.
-    probe = view.health.state == "open"
+    need, free = job.step.need, view.available
+    slowdown = eligible.slowdowns[view.name]
+    if view.health.state == "open":
+        # An ejected worker is probed with a single task.
+        free = need
+    elif view.name in eligible.limited:
+        allowed = need.times(max(0, view.trust.tasks - len(view.runs)))
+        free = allowed if free.covers(allowed) else free
     return Candidate(
         view.name,
-        job.step.need if probe else view.available,
+        free,
         slowdown,
         view.data_centre == state.data_centre,
         view.name in avoided_agents,
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -21,6 +21,7 @@
 from sardineferry.decision.burst.run_relay import RunRelay
 from sardineferry.decision.burst.slowdown import WorkerSlowdowns
 from sardineferry.decision.burst.worker_choice import DEFAULT_REMOTE_FACTOR
+from sardineferry.decision.burst.worker_choice import WorkerTrust
 from sardineferry.decision.circuit_breaker import CircuitBreaker
 from sardineferry.decision.moving_average import MovingAverage
 from sardineferry.messages.burst import Resources
@@ -354,6 +355,7 @@
         # restarted since.
         self.earlier_reports_expire_ms: int | None = None
         self.health = CircuitBreaker()
+        self.trust = WorkerTrust()
         # The agent need not be asked again for capacity updates before this time.
         self.updates_requested_until_ms = 0
 
@@ -468,6 +470,8 @@
         # The latest jobs that were cancelled here, with the times.
         self.cancellations: deque[tuple[int, str]] = deque(maxlen=MAX_CANCELLATIONS)
         self.worker_slowdowns = WorkerSlowdowns()
+        # Names of agents whose worker was distrusted at some time.
+        self.once_distrusted: set[str] = set()
         # By which factor runs outside the rack of their data take longer.
         self.remote_factor = remote_factor
         # The average time of the runs that this entry ordered.
--- a/src/sardineferry/decision/burst/worker_choice/__init__.py
+++ b/src/sardineferry/decision/burst/worker_choice/__init__.py
@@ -12,11 +12,13 @@
 from sardineferry.decision.burst.worker_choice.lateness import lateness_class
 from sardineferry.decision.burst.worker_choice.lateness import max_wait_ms
 from sardineferry.decision.burst.worker_choice.lateness import slowdown_limits
+from sardineferry.decision.burst.worker_choice.trust import WorkerTrust
 
 __all__ = [
     "DEFAULT_REMOTE_FACTOR",
     "LIKELY_LATE",
     "JobTimes",
+    "WorkerTrust",
     "data_factor",
     "expected_wait_ms",
     "is_in_rack",
--- a/src/sardineferry/messages/burst.py
+++ b/src/sardineferry/messages/burst.py
@@ -20,6 +20,9 @@
     "ENDED_LOST",
     "ENDED_REFUSED",
     "REASON_STALLED",
+    "REASON_WORKER_REPLACED",
+    "REASON_WORKER_RESTARTED",
+    "REASON_WORKER_SILENT",
     "AgentBeat",
     "AgentRuns",
     "BurstMessage",
@@ -59,6 +62,9 @@
 ENDED_REFUSED = "refused"
 # The reason of a lost run that its agent stopped because it made no progress.
 REASON_STALLED = "stalled"
+REASON_WORKER_REPLACED = "worker replaced"
+REASON_WORKER_RESTARTED = "worker restarted"
+REASON_WORKER_SILENT = "worker silent"
 
 
 class Resources(NamedTuple):
