Compare the processors of workers first in a placement

Cause: the choice by lateness took 11% more processor time per placement with 160 workers where the fast workers are full.

Measured with 160 workers, 10th percentile of 400 placements, before the choice by lateness and now: all free, 8 tasks 285 and 273 us; all free, 2 tasks 280 and 207 us; a fifth free, 8 tasks 171 and 152 us; only slow ones free, 4 tasks 121 and 125 us.

--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -88,11 +88,12 @@
         if can_receive_orders(state, view, now_ms)
     ]
     limited = find_limited_agents(state, views, now_ms)
-    views = [
-        view
-        for view in views
-        if view.name not in limited or view.trust.tasks > len(view.runs)
-    ]
+    if limited:
+        views = [
+            view
+            for view in views
+            if view.name not in limited or view.trust.tasks > len(view.runs)
+        ]
     slowdowns = {
         view.name: state.worker_slowdowns.slowdown(view.name, view.kind())
         for view in views
@@ -193,18 +194,24 @@
     ``cpu_ahead`` is the need of earlier jobs that wait for capacity.
     """
     slowdowns, need = eligible.slowdowns, job.step.need
-    fastest = min((slowdowns[view.name] for view in eligible.views), default=0.0)
-    best_class = lateness_class(limits, fastest)
-    if best_class == len(limits):
+    fast: list[AgentView] = []
+    # The first class with a worker; all workers if the job is late on any.
+    for limit in limits[LIKELY_LATE - 1 :]:
+        fast = [view for view in eligible.views if slowdowns[view.name] <= limit]
+        if fast:
+            break
+    else:
         return eligible
-    limit = limits[max(best_class, LIKELY_LATE - 1)]
-    fast = [view for view in eligible.views if slowdowns[view.name] <= limit]
-    if any(view.available.covers(need) for view in fast):
-        return eligible._replace(views=fast)
+    # Comparing the processors first saves most calls on full workers.
+    for view in fast:
+        if view.available.cpu >= need.cpu and view.available.covers(need):
+            return eligible._replace(views=fast)
     slow_with_capacity = [
         view
         for view in eligible.views
-        if slowdowns[view.name] > limit and view.available.covers(need)
+        if view.available.cpu >= need.cpu
+        and slowdowns[view.name] > limit
+        and view.available.covers(need)
     ]
     if not slow_with_capacity:
         return eligible._replace(views=fast)
@@ -224,6 +231,7 @@
         later_limits = slowdown_limits(
             job_times(job.route, job.step), now_ms - job.arrived_ms + wait_ms
         )
+        fastest = min(slowdowns[view.name] for view in fast)
         later_class = min(later_class, lateness_class(later_limits, fastest))
     later_limit = limits[later_class]
     chosen = [
@@ -300,7 +308,9 @@
                 now_ms,
             )
             for view in eligible.views
-            if view.name not in withheld_agents and view.available.covers(step.need)
+            if view.available.cpu >= step.need.cpu
+            and view.name not in withheld_agents
+            and view.available.covers(step.need)
         ]
         candidates = rank_candidates(found, scarce, state.random)
         remaining = tasks
