Start on slow workers at last only the first job that waits

Cause: when the latest start of a waiting job would pass, it was started on any worker. At twice the load this filled the slow workers with jobs that were late there.

--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -221,13 +221,13 @@
         state.run_time.value,
         count_links_per_agent(state.data_centre, state.known_entries),
     )
-    if not job.started and now_ms + wait_ms > job.latest_start_ms:
-        # A late answer is better than none.
-        state.counters["waits_avoided"] += 1
-        return eligible._replace(views=slow_with_capacity)
     later_class = len(limits) - 1
     # The fast workers will be used in any case if other jobs wait for them, too.
     if not cpu_ahead:
+        if not job.started and now_ms + wait_ms > job.latest_start_ms:
+            # A late answer is better than none.
+            state.counters["waits_avoided"] += 1
+            return eligible._replace(views=slow_with_capacity)
         later_limits = slowdown_limits(
             job_times(job.route, job.step), now_ms - job.arrived_ms + wait_ms
         )
