Look at jobs that wait in less processor time

Cause: with queues, each placement computed the times of all waiting jobs anew and summed up the capacity even if no worker had room.

--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -15,6 +15,7 @@
 from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.entry_state import AgentView
 from sardineferry.decision.burst.entry_state import PlacedRun
+from sardineferry.decision.burst.entry_state import job_times
 from sardineferry.decision.burst.entry_state import response_time_goal_ms
 from sardineferry.decision.burst.link_selection import count_links_per_agent
 from sardineferry.decision.burst.placement import Candidate
@@ -23,7 +24,6 @@
 from sardineferry.decision.burst.placement import rank_candidates
 from sardineferry.decision.burst.worker_choice import DEFAULT_REMOTE_FACTOR
 from sardineferry.decision.burst.worker_choice import LIKELY_LATE
-from sardineferry.decision.burst.worker_choice import JobTimes
 from sardineferry.decision.burst.worker_choice import data_factor
 from sardineferry.decision.burst.worker_choice import expected_wait_ms
 from sardineferry.decision.burst.worker_choice import is_in_rack
@@ -133,15 +133,12 @@
         if with_capacity <= withheld_agents:
             break
         views = [view for view in eligible.views if can_run_job(view, job)]
-        limits = slowdown_limits(
-            job_times(job.route, job.step), now_ms - job.arrived_ms
-        )
+        limits = slowdown_limits(job.times, now_ms - job.arrived_ms)
+        slowdowns = job_slowdowns(state, job, eligible)
         preferred = preferred_agents(
             state,
             job,
-            eligible._replace(
-                views=views, slowdowns=job_slowdowns(state, job, eligible)
-            ),
+            EligibleAgents(views, slowdowns, eligible.limited),
             limits,
             cpu_ahead,
             now_ms,
@@ -205,7 +202,7 @@
     # Comparing the processors first saves most calls on full workers.
     for view in fast:
         if view.available.cpu >= need.cpu and view.available.covers(need):
-            return eligible._replace(views=fast)
+            return EligibleAgents(fast, slowdowns, eligible.limited)
     slow_with_capacity = [
         view
         for view in eligible.views
@@ -214,7 +211,7 @@
         and view.available.covers(need)
     ]
     if not slow_with_capacity:
-        return eligible._replace(views=fast)
+        return EligibleAgents(fast, slowdowns, eligible.limited)
     wait_ms = expected_wait_ms(
         cpu_ahead + need.cpu * len(job.waiting_tasks()),
         sum(view.profile.total.cpu for view in fast if view.profile is not None),
@@ -227,10 +224,8 @@
         if not job.started and now_ms + wait_ms > job.latest_start_ms:
             # A late answer is better than none.
             state.counters["waits_avoided"] += 1
-            return eligible._replace(views=slow_with_capacity)
-        later_limits = slowdown_limits(
-            job_times(job.route, job.step), now_ms - job.arrived_ms + wait_ms
-        )
+            return EligibleAgents(slow_with_capacity, slowdowns, eligible.limited)
+        later_limits = slowdown_limits(job.times, now_ms - job.arrived_ms + wait_ms)
         fastest = min(slowdowns[view.name] for view in fast)
         later_class = min(later_class, lateness_class(later_limits, fastest))
     later_limit = limits[later_class]
@@ -238,7 +233,7 @@
         view for view in slow_with_capacity if slowdowns[view.name] <= later_limit
     ]
     state.counters["waits_for_faster_workers" if not chosen else "waits_avoided"] += 1
-    return eligible._replace(views=chosen or fast)
+    return EligibleAgents(chosen or fast, slowdowns, eligible.limited)
 
 
 def job_slowdowns(
@@ -256,13 +251,6 @@
     return slowdowns_with_data(eligible.slowdowns, in_rack, state.remote_factor)
 
 
-def job_times(route: Route, step: BurstStep) -> JobTimes:
-    """Return what is known of the times of a job."""
-    return JobTimes.of_tasks(
-        step.tasks, step.estimate_ms, route.slack_factor, route.goal_ms
-    )
-
-
 def max_start_wait_ms(state: BurstEntryState, route: Route, step: BurstStep) -> float:
     """Return how long a job may wait for its start before it is refused."""
     slowdown = state.worker_slowdowns.typical_slowdown()
@@ -284,6 +272,16 @@
 
     Tasks that avoid the same agents are placed together.
     """
+    step = job.step
+    with_capacity = [
+        view
+        for view in eligible.views
+        if view.available.cpu >= step.need.cpu
+        and view.name not in withheld_agents
+        and view.available.covers(step.need)
+    ]
+    if not with_capacity:
+        return
     scarce = is_capacity_scarce(
         sum(view.available.cpu for view in eligible.views),
         sum(
@@ -295,7 +293,6 @@
     groups: dict[frozenset[str], list[ActiveTask]] = {}
     for task in job.placeable_tasks():
         groups.setdefault(frozenset(task.avoided_agents), []).append(task)
-    step = job.step
     for avoided_agents, tasks in groups.items():
         found = [
             make_candidate(
@@ -307,10 +304,7 @@
                 avoided_agents,
                 now_ms,
             )
-            for view in eligible.views
-            if view.available.cpu >= step.need.cpu
-            and view.name not in withheld_agents
-            and view.available.covers(step.need)
+            for view in with_capacity
         ]
         candidates = rank_candidates(found, scarce, state.random)
         remaining = tasks
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -21,6 +21,7 @@
 from sardineferry.decision.burst.run_relay import RunRelay
 from sardineferry.decision.burst.slowdown import WorkerSlowdowns
 from sardineferry.decision.burst.worker_choice import DEFAULT_REMOTE_FACTOR
+from sardineferry.decision.burst.worker_choice import JobTimes
 from sardineferry.decision.burst.worker_choice import WorkerTrust
 from sardineferry.decision.circuit_breaker import CircuitBreaker
 from sardineferry.decision.moving_average import MovingAverage
@@ -202,6 +203,7 @@
         self.attempt = earlier.attempt
         self.earlier_attempt = earlier.attempt
         self.goal_ms = response_time_goal_ms(route, self.step.estimate_ms)
+        self.times = job_times(route, self.step)
         self.latest_start_ms = 0
         self.tasks = [
             ActiveTask(index, earlier.attempt) for index in range(self.step.tasks)
@@ -292,6 +294,13 @@
     return route.slack_factor * estimate_ms + route.goal_ms
 
 
+def job_times(route: Route, step: BurstStep) -> JobTimes:
+    """Return what is known of the times of a job."""
+    return JobTimes.of_tasks(
+        step.tasks, step.estimate_ms, route.slack_factor, route.goal_ms
+    )
+
+
 class PlacedRun:
     """A run that an agent was ordered to start."""
 
