--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -12,6 +12,7 @@
 from sardineferry.decision.burst.entry_dispatch import handle_entry_event
 from sardineferry.decision.burst.entry_placement import can_receive_orders
 from sardineferry.decision.burst.entry_placement import can_run_job
+from sardineferry.decision.burst.entry_placement import max_start_wait_ms
 from sardineferry.decision.burst.entry_state import UNKNOWN_JOB
 from sardineferry.decision.burst.entry_state import ActiveJob
 from sardineferry.decision.burst.entry_state import EarlyJob
@@ -228,13 +229,13 @@
         remaining_ms = state.drain_started_ms + state.grace_ms - now_ms
         if run_ms + DRAIN_MARGIN_MS > remaining_ms:
             return ("entry is leaving", DEFAULT_RETRY_MS)
-    goal_ms = response_time_goal_ms(route, step.estimate_ms)
-    max_wait_ms = admission.max_start_wait_ms(goal_ms, run_ms)
+    max_wait_ms = max_start_wait_ms(state, route, step)
     # A job that another entry runs waits for the ends of these runs, not for capacity.
     if discovering or event.job.job_id in state.other_runs:
         return None
     if is_prioritised(state, route):
         if can_be_overtaken(state, route):
+            goal_ms = response_time_goal_ms(route, step.estimate_ms)
             max_wait_ms = max_decision_wait_ms(goal_ms, max_wait_ms)
         return find_overload_refusal(state, event, route, int(max_wait_ms), now_ms)
     wait_ms = forecast_start_wait_ms(state, now_ms, now_ms + max_wait_ms)
@@ -518,11 +519,10 @@
     if earlier.attempt:
         state.count_earlier_runs(job)
     job.may_be_copy = job.may_be_copy or state.may_be_copy(job.job.job_id, arrived_ms)
-    run_ms = job.step.estimate_ms * state.worker_slowdowns.typical_slowdown()
-    max_wait_ms = int(admission.max_start_wait_ms(job.goal_ms, run_ms))
+    max_wait_ms = max_start_wait_ms(state, route, job.step)
     if can_be_overtaken(state, route):
-        max_wait_ms = int(max_decision_wait_ms(job.goal_ms, max_wait_ms))
-    job.latest_start_ms = arrived_ms + max_wait_ms
+        max_wait_ms = max_decision_wait_ms(job.goal_ms, max_wait_ms)
+    job.latest_start_ms = arrived_ms + int(max_wait_ms)
     state.jobs[event.job.job_id] = job
     state.task_durations.add(route.priority, job.step.estimate_ms)
     record_caller(state, event, arrived_ms)
--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -11,11 +11,15 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from sardineferry.decision.burst import admission
 from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.cold_workers import expected_slowdown
 from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.entry_state import AgentView
 from sardineferry.decision.burst.entry_state import PlacedRun
+from sardineferry.decision.burst.entry_state import job_times
+from sardineferry.decision.burst.entry_state import response_time_goal_ms
+from sardineferry.decision.burst.link_selection import count_links_per_agent
 from sardineferry.decision.burst.overload import WithheldAgents
 from sardineferry.decision.burst.overload import service_order
 from sardineferry.decision.burst.overload.left_capacity import leave_capacity
@@ -23,6 +27,15 @@
 from sardineferry.decision.burst.placement import is_capacity_scarce
 from sardineferry.decision.burst.placement import place_tasks
 from sardineferry.decision.burst.placement import rank_candidates
+from sardineferry.decision.burst.worker_choice import DEFAULT_REMOTE_FACTOR
+from sardineferry.decision.burst.worker_choice import LIKELY_LATE
+from sardineferry.decision.burst.worker_choice import data_factor
+from sardineferry.decision.burst.worker_choice import expected_wait_ms
+from sardineferry.decision.burst.worker_choice import is_in_rack
+from sardineferry.decision.burst.worker_choice import lateness_class
+from sardineferry.decision.burst.worker_choice import max_wait_ms
+from sardineferry.decision.burst.worker_choice import slowdown_limits
+from sardineferry.decision.burst.worker_choice import slowdowns_with_data
 from sardineferry.decision.common_effects import Send
 from sardineferry.messages.burst import StartRuns
 from sardineferry.messages.burst import WatchRoom
@@ -33,8 +46,14 @@
     from sardineferry.decision.burst.entry_state import ActiveTask
     from sardineferry.decision.burst.entry_state import BurstEntryState
     from sardineferry.decision.burst.requests import BurstJob
+    from sardineferry.decision.burst.requests import BurstStep
 
-__all__ = ["can_receive_orders", "can_run_job", "place_waiting_tasks"]
+__all__ = [
+    "can_receive_orders",
+    "can_run_job",
+    "max_start_wait_ms",
+    "place_waiting_tasks",
+]
 
 # Free capacity is assumed to be unchanged for this long after the agent's latest
 # timestamp arrived. An agent that sends frequent capacity updates to three entries
@@ -63,10 +82,14 @@
 
 
 class EligibleAgents(NamedTuple):
-    """Agents that may be sent orders, and their workers' slowdowns by agent name."""
+    """Agents that may be sent orders, and their workers' slowdowns by agent name.
+
+    ``limited`` names those whose workers may have only a few tasks.
+    """
 
     views: list[AgentView]
     slowdowns: dict[str, float]
+    limited: frozenset[str] = frozenset()
 
 
 def find_eligible_agents(state: BurstEntryState, now_ms: int) -> EligibleAgents:
@@ -76,11 +99,28 @@
         for view in state.agents.values()
         if can_receive_orders(state, view, now_ms)
     ]
+    limited = find_limited_agents(state, views, now_ms)
+    if limited:
+        views = [
+            view
+            for view in views
+            if view.name not in limited or view.trust.tasks > len(view.runs)
+        ]
     slowdowns = {
         view.name: expected_slowdown(state.worker_slowdowns, view, now_ms)
         for view in views
     }
-    return EligibleAgents(views, slowdowns)
+    return EligibleAgents(views, slowdowns, limited)
+
+
+def find_limited_agents(
+    state: BurstEntryState, views: list[AgentView], now_ms: int
+) -> frozenset[str]:
+    """Return the agents with distrusted workers; none if no worker is trusted."""
+    if not state.once_distrusted:
+        return frozenset()
+    limited = frozenset(view.name for view in views if view.trust.is_distrusted(now_ms))
+    return limited if len(limited) < len(views) else frozenset()
 
 
 def place_waiting_tasks(state: BurstEntryState, now_ms: int) -> None:
@@ -101,6 +141,7 @@
         key=lambda job: service_order(job.started, job.priority, job.latest_start_ms)
     )
     withheld_agents = WithheldAgents()
+    cpu_ahead = 0
     for job in list(state.queue):
         # No worker with free capacity is left for this job.
         if withheld_agents.are_withheld(with_capacity, job.priority):
@@ -113,11 +154,19 @@
         views = [
             view for view in eligible.views if can_run_job(view, job.job, job.route)
         ]
+        limits = slowdown_limits(job.times, now_ms - job.arrived_ms)
+        slowdowns = job_slowdowns(state, job, eligible)
         preferred = preferred_agents(
-            job, EligibleAgents(views, eligible.slowdowns), now_ms
+            state,
+            job,
+            EligibleAgents(views, slowdowns, eligible.limited),
+            limits,
+            cpu_ahead,
+            now_ms,
         )
         with leave_capacity(state, job, preferred.views, now_ms):
-            place_job_tasks(state, job, preferred, withheld_agents, now_ms)
+            place_job_tasks(state, job, preferred, limits, withheld_agents, now_ms)
+        cpu_ahead += job.step.need.cpu * len(job.waiting_tasks())
         if job.placeable_tasks():
             withheld_agents.withhold(
                 (view.name for view in preferred.views), job.priority
@@ -150,31 +199,96 @@
     )
 
 
-def meets_goal(job: ActiveJob, slowdown: float, now_ms: int) -> bool:
-    """Return whether a task started now should meet the response-time goal."""
-    run_ms = job.step.estimate_ms * slowdown
-    return now_ms + run_ms <= job.arrived_ms + job.goal_ms
-
-
 def preferred_agents(
-    job: ActiveJob, eligible: EligibleAgents, now_ms: int
+    state: BurstEntryState,
+    job: ActiveJob,
+    eligible: EligibleAgents,
+    limits: tuple[float, ...],
+    cpu_ahead: int,
+    now_ms: int,
 ) -> EligibleAgents:
-    """Return the agents where the job can meet its goal, or all if there is none.
+    """Return the agents where the job should start, now or once they have capacity.
 
-    A job waits for one of these agents rather than start where it would be late.
+    These are the ones where it is likely in time. If they are full, the job waits for
+    them, unless it would then be as likely late there as it is now on workers with free
+    capacity. ``limits`` bound the slowdowns of the classes of lateness, and
+    ``cpu_ahead`` is the need of earlier jobs that wait for capacity.
     """
-    in_time = [
+    slowdowns, need = eligible.slowdowns, job.step.need
+    fast: list[AgentView] = []
+    # The first class with a worker; all workers if the job is late on any.
+    for limit in limits[LIKELY_LATE - 1 :]:
+        fast = [view for view in eligible.views if slowdowns[view.name] <= limit]
+        if fast:
+            break
+    else:
+        return eligible
+    # Comparing the processors first saves most calls on full workers.
+    for view in fast:
+        if view.available.cpu >= need.cpu and view.available.covers(need):
+            return EligibleAgents(fast, slowdowns, eligible.limited)
+    slow_with_capacity = [
         view
         for view in eligible.views
-        if meets_goal(job, eligible.slowdowns[view.name], now_ms)
+        if view.available.cpu >= need.cpu
+        and slowdowns[view.name] > limit
+        and view.available.covers(need)
     ]
-    return EligibleAgents(in_time or eligible.views, eligible.slowdowns)
+    if not slow_with_capacity:
+        return EligibleAgents(fast, slowdowns, eligible.limited)
+    wait_ms = expected_wait_ms(
+        cpu_ahead + need.cpu * len(job.waiting_tasks()),
+        sum(view.profile.total.cpu for view in fast if view.profile is not None),
+        state.run_time.value,
+        count_links_per_agent(state.data_centre, state.known_entries),
+    )
+    later_class = len(limits) - 1
+    # The fast workers will be used in any case if other jobs wait for them, too.
+    if not cpu_ahead:
+        if not job.started and now_ms + wait_ms > job.latest_start_ms:
+            # A late answer is better than none.
+            state.counters["waits_avoided"] += 1
+            return EligibleAgents(slow_with_capacity, slowdowns, eligible.limited)
+        later_limits = slowdown_limits(job.times, now_ms - job.arrived_ms + wait_ms)
+        fastest = min(slowdowns[view.name] for view in fast)
+        later_class = min(later_class, lateness_class(later_limits, fastest))
+    later_limit = limits[later_class]
+    chosen = [
+        view for view in slow_with_capacity if slowdowns[view.name] <= later_limit
+    ]
+    state.counters["waits_for_faster_workers" if not chosen else "waits_avoided"] += 1
+    return EligibleAgents(chosen or fast, slowdowns, eligible.limited)
+
+
+def job_slowdowns(
+    state: BurstEntryState, job: ActiveJob, eligible: EligibleAgents
+) -> dict[str, float]:
+    """Return the workers' slowdowns for a job, with what the way to its data costs."""
+    rack = job.step.preferred_rack
+    if not rack or state.remote_factor == DEFAULT_REMOTE_FACTOR:
+        return eligible.slowdowns
+    in_rack = [
+        view.name
+        for view in eligible.views
+        if view.profile is not None and is_in_rack(view.profile.labels, rack)
+    ]
+    return slowdowns_with_data(eligible.slowdowns, in_rack, state.remote_factor)
+
+
+def max_start_wait_ms(state: BurstEntryState, route: Route, step: BurstStep) -> float:
+    """Return how long a job may wait for its start before it is refused."""
+    slowdown = state.worker_slowdowns.typical_slowdown()
+    goal_ms = response_time_goal_ms(route, step.estimate_ms)
+    return admission.max_start_wait_ms(
+        goal_ms, max_wait_ms(job_times(route, step), slowdown)
+    )
 
 
 def place_job_tasks(
     state: BurstEntryState,
     job: ActiveJob,
     eligible: EligibleAgents,
+    limits: tuple[float, ...],
     withheld_agents: WithheldAgents,
     now_ms: int,
 ) -> None:
@@ -182,6 +296,16 @@
 
     Tasks that avoid the same agents are placed together.
     """
+    step = job.step
+    with_capacity = [
+        view
+        for view in eligible.views
+        if view.available.cpu >= step.need.cpu
+        and not withheld_agents.is_withheld(view.name, job.priority)
+        and view.available.covers(step.need)
+    ]
+    if not with_capacity:
+        return
     scarce = is_capacity_scarce(
         sum(view.available.cpu for view in eligible.views),
         sum(
@@ -193,15 +317,18 @@
     groups: dict[frozenset[str], list[ActiveTask]] = {}
     for task in job.placeable_tasks():
         groups.setdefault(frozenset(task.avoided_agents), []).append(task)
-    step = job.step
     for avoided_agents, tasks in groups.items():
         found = [
             make_candidate(
-                state, job, view, eligible.slowdowns[view.name], avoided_agents, now_ms
+                state,
+                job,
+                view,
+                eligible,
+                limits,
+                avoided_agents,
+                now_ms,
             )
-            for view in eligible.views
-            if view.available.covers(step.need)
-            and not withheld_agents.is_withheld(view.name, job.priority)
+            for view in with_capacity
         ]
         candidates = rank_candidates(found, scarce, state.random)
         remaining = tasks
@@ -216,20 +343,27 @@
     state: BurstEntryState,
     job: ActiveJob,
     view: AgentView,
-    slowdown: float,
+    eligible: EligibleAgents,
+    limits: tuple[float, ...],
     avoided_agents: frozenset[str],
     now_ms: int,
 ) -> Candidate:
     """Describe a worker as a candidate for the tasks of a job."""
-    # An ejected worker is probed with a single task.
-    probe = view.health.state == "open"
+    need, free = job.step.need, view.available
+    slowdown = eligible.slowdowns[view.name]
+    if view.health.state == "open":
+        # An ejected worker is probed with a single task.
+        free = need
+    elif view.name in eligible.limited:
+        allowed = need.times(max(0, view.trust.tasks - len(view.runs)))
+        free = allowed if free.covers(allowed) else free
     return Candidate(
         view.name,
-        job.step.need if probe else view.available,
+        free,
         slowdown,
         view.data_centre == state.data_centre,
         view.name in avoided_agents,
-        meets_goal(job, slowdown, now_ms),
+        lateness_class(limits, slowdown),
         is_likely_available(view, job, now_ms),
         is_cold=now_ms < view.cold_until_ms,
     )
@@ -265,7 +399,10 @@
         if task.attempt
     }
     is_repeat = job.may_be_copy or job.ran_before or any(task.attempt for task in tasks)
-    is_reported = is_repeat or step.estimate_ms >= timing.LASTING_RUN_MS
+    labels = view.profile.labels if view.profile is not None else ()
+    factor = data_factor(labels, step.preferred_rack, state.remote_factor)
+    estimate_ms = round(step.estimate_ms * factor)
+    is_reported = is_repeat or estimate_ms >= timing.LASTING_RUN_MS
     for task in tasks:
         task.attempt += 1
         task.end_proof = None
@@ -288,12 +425,14 @@
         tuple(job.run_ref(task) for task in tasks),
         job.job.spec,
         step.need,
-        step.estimate_ms,
+        estimate_ms,
         movable=not any(task.stalled for task in tasks),
         is_repeat=is_repeat,
     )
     state.effects.append(Send(view.name, message))
     state.counters["runs_ordered"] += len(tasks)
+    if factor != 1.0:
+        state.counters["runs_ordered_far_from_data"] += len(tasks)
     fields: dict[str, object] = {
         "job": job.job.job_id,
         # Before the rest, as some platforms cut off lines.
@@ -306,5 +445,6 @@
         # A slowdown: higher is slower.
         "speed": round(state.worker_slowdowns.slowdown(view.name, view.kind()), 2),
         "stamp_age_ms": timestamp_age_ms,
+        **({"data_factor": factor} if factor != 1.0 else {}),
     }
     state.effects.append(LogDecision("runs ordered", fields))
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -28,7 +28,11 @@
 from sardineferry.decision.burst.requests import SubmitJob
 from sardineferry.decision.burst.run_relay import RunRelay
 from sardineferry.decision.burst.slowdown import WorkerSlowdowns
+from sardineferry.decision.burst.worker_choice import DEFAULT_REMOTE_FACTOR
+from sardineferry.decision.burst.worker_choice import JobTimes
+from sardineferry.decision.burst.worker_choice import WorkerTrust
 from sardineferry.decision.circuit_breaker import CircuitBreaker
+from sardineferry.decision.moving_average import MovingAverage
 from sardineferry.messages.burst import Resources
 from sardineferry.messages.burst import RunRef
 
@@ -82,6 +86,12 @@
 MAX_REMEMBERED_JOBS = 65_536
 
 
+# The average time of runs is assumed to be this until the first run has ended, and is
+# then taken over about the last 100 runs.
+INITIAL_RUN_MS = 100.0
+RUN_TIME_WEIGHT = 0.01
+
+
 class EndedJob(NamedTuple):
     """What is kept of an ended job, in case it is submitted again.
 
@@ -207,6 +217,7 @@
         self.attempt = earlier.attempt
         self.earlier_attempt = earlier.attempt
         self.goal_ms = response_time_goal_ms(route, self.step.estimate_ms)
+        self.times = job_times(route, self.step)
         self.latest_start_ms = 0
         self.is_prioritised = is_prioritised
         # Jobs of other services are served as equally urgent.
@@ -323,6 +334,13 @@
     return route.slack_factor * estimate_ms + route.goal_ms
 
 
+def job_times(route: Route, step: BurstStep) -> JobTimes:
+    """Return what is known of the times of a job."""
+    return JobTimes.of_tasks(
+        step.tasks, step.estimate_ms, route.slack_factor, route.goal_ms
+    )
+
+
 class PlacedRun:
     """A run that an agent was ordered to start."""
 
@@ -388,6 +406,7 @@
         # restarted since.
         self.earlier_reports_expire_ms: int | None = None
         self.health = CircuitBreaker()
+        self.trust = WorkerTrust()
         # The agent need not be asked again for capacity updates before this time.
         self.updates_requested_until_ms = 0
 
@@ -470,6 +489,7 @@
         grace_ms: int,
         decode_configuration: Callable[[bytes], Result[Configuration, str]],
         random: Random,
+        remote_factor: float = DEFAULT_REMOTE_FACTOR,
     ) -> None:
         """Create the state without a configuration, agents or jobs."""
         self.name = name
@@ -522,6 +542,12 @@
         self.known_rates: tuple[int, WorkerRates] | None = None
         # When the next waiting job of a service with priorities has to be refused.
         self.next_refusal_ms = math.inf
+        # Names of agents whose worker was distrusted at some time.
+        self.once_distrusted: set[str] = set()
+        # By which factor runs outside the rack of their data take longer.
+        self.remote_factor = remote_factor
+        # The average time of the runs that this entry ordered.
+        self.run_time = MovingAverage(INITIAL_RUN_MS, RUN_TIME_WEIGHT)
         self.next_order = 1
         self.started_ms: int | None = None
         # When the first agent linked.
