--- a/src/sardineferry/platform/configuration.py
+++ b/src/sardineferry/platform/configuration.py
@@ -11,7 +11,15 @@
 from sardineferry.decision.burst.configuration import EdgeLimits
 from sardineferry.decision.burst.configuration import Route
 
-__all__ = ["CONFIG_KEY", "CONFIG_TOPIC", "decode_configuration"]
+__all__ = [
+    "CONFIG_KEY",
+    "CONFIG_TOPIC",
+    "AdvisorSection",
+    "ConfigDocument",
+    "LimitsSection",
+    "RouteSection",
+    "decode_configuration",
+]
 
 # The topic and key that the operator writes the configuration to.
 CONFIG_TOPIC = "keyed.op"
