--- a/src/sardineferry/console/operator.py
+++ b/src/sardineferry/console/operator.py
@@ -7,6 +7,7 @@
 from sardineferry import __version__
 from sardineferry.console.commands import preset
 from sardineferry.console.commands.cancel import cancel
+from sardineferry.console.commands.check_configuration import check_configuration
 from sardineferry.console.commands.drain import drain
 from sardineferry.console.commands.dump import dump
 from sardineferry.console.commands.explain import explain
@@ -18,7 +19,16 @@
 
 application = cyclopts.App(name="sardineferry", version=__version__)
 application.command(preset.application)
-for command in (cancel, drain, dump, explain, status, submit, validate):
+for command in (
+    cancel,
+    check_configuration,
+    drain,
+    dump,
+    explain,
+    status,
+    submit,
+    validate,
+):
     application.command(command)
 
 
