Choose workers by the estimate alone again; wait for fast ones only if that is in time

Cause: with the probability of being late, jobs waited for fast workers more often, and where priorities differ the longer queues were refused by forecast.

Change: the limit on the slowdown comes from the estimate, as before this part. New against that is kept: a job whose latest start would pass while it waits for full fast workers starts on a slower free one, as a late answer is better than none; data racks; trust.

--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -28,13 +28,11 @@
 from sardineferry.decision.burst.placement import place_tasks
 from sardineferry.decision.burst.placement import rank_candidates
 from sardineferry.decision.burst.worker_choice import DEFAULT_REMOTE_FACTOR
-from sardineferry.decision.burst.worker_choice import LIKELY_LATE
 from sardineferry.decision.burst.worker_choice import data_factor
 from sardineferry.decision.burst.worker_choice import expected_wait_ms
 from sardineferry.decision.burst.worker_choice import is_in_rack
-from sardineferry.decision.burst.worker_choice import lateness_class
+from sardineferry.decision.burst.worker_choice import max_slowdown
 from sardineferry.decision.burst.worker_choice import max_wait_ms
-from sardineferry.decision.burst.worker_choice import slowdown_limits
 from sardineferry.decision.burst.worker_choice import slowdowns_with_data
 from sardineferry.decision.common_effects import Send
 from sardineferry.messages.burst import StartRuns
@@ -154,18 +152,18 @@
         views = [
             view for view in eligible.views if can_run_job(view, job.job, job.route)
         ]
-        limits = slowdown_limits(job.times, now_ms - job.arrived_ms)
+        limit = max_slowdown(job.times, now_ms - job.arrived_ms)
         slowdowns = job_slowdowns(state, job, eligible)
         preferred = preferred_agents(
             state,
             job,
             EligibleAgents(views, slowdowns, eligible.limited),
-            limits,
+            limit,
             cpu_ahead,
             now_ms,
         )
         with leave_capacity(state, job, preferred.views, now_ms):
-            place_job_tasks(state, job, preferred, limits, withheld_agents, now_ms)
+            place_job_tasks(state, job, preferred, limit, withheld_agents, now_ms)
         cpu_ahead += job.step.need.cpu * len(job.waiting_tasks())
         if job.placeable_tasks():
             withheld_agents.withhold(
@@ -203,30 +201,26 @@
     state: BurstEntryState,
     job: ActiveJob,
     eligible: EligibleAgents,
-    limits: tuple[float, ...],
+    limit: float,
     cpu_ahead: int,
     now_ms: int,
 ) -> EligibleAgents:
     """Return the agents where the job should start, now or once they have capacity.
 
-    These are the ones where it is likely in time. If they are full, the job waits for
-    them, unless it would then be as likely late there as it is now on workers with free
-    capacity. ``limits`` bound the slowdowns of the classes of lateness, and
-    ``cpu_ahead`` is the need of earlier jobs that wait for capacity.
+    These are the ones where it is in time, up to the slowdown ``limit``, or all if
+    there is none. If they are full, the job waits for them, unless its latest start
+    would pass meanwhile and no earlier job waits for capacity. ``cpu_ahead`` is the
+    need of those.
     """
     slowdowns, need = eligible.slowdowns, job.step.need
-    fast: list[AgentView] = []
-    # The first class with a worker; all workers if the job is late on any.
-    for limit in limits[LIKELY_LATE - 1 :]:
-        fast = [view for view in eligible.views if slowdowns[view.name] <= limit]
-        if fast:
-            break
-    else:
+    fast = [view for view in eligible.views if slowdowns[view.name] <= limit]
+    if not fast:
         return eligible
+    preferred = EligibleAgents(fast, slowdowns, eligible.limited)
     # Comparing the processors first saves most calls on full workers.
     for view in fast:
         if view.available.cpu >= need.cpu and view.available.covers(need):
-            return EligibleAgents(fast, slowdowns, eligible.limited)
+            return preferred
     slow_with_capacity = [
         view
         for view in eligible.views
@@ -235,29 +229,21 @@
         and view.available.covers(need)
     ]
     if not slow_with_capacity:
-        return EligibleAgents(fast, slowdowns, eligible.limited)
-    wait_ms = expected_wait_ms(
-        cpu_ahead + need.cpu * len(job.waiting_tasks()),
-        sum(view.profile.total.cpu for view in fast if view.profile is not None),
-        state.run_time.value,
-        count_links_per_agent(state.data_centre, state.known_entries),
-    )
-    later_class = len(limits) - 1
+        return preferred
     # The fast workers will be used in any case if other jobs wait for them, too.
-    if not cpu_ahead:
-        if not job.started and now_ms + wait_ms > job.latest_start_ms:
+    if not cpu_ahead and not job.started:
+        wait_ms = expected_wait_ms(
+            need.cpu * len(job.waiting_tasks()),
+            sum(view.profile.total.cpu for view in fast if view.profile is not None),
+            state.run_time.value,
+            count_links_per_agent(state.data_centre, state.known_entries),
+        )
+        if now_ms + wait_ms > job.latest_start_ms:
             # A late answer is better than none.
             state.counters["waits_avoided"] += 1
             return EligibleAgents(slow_with_capacity, slowdowns, eligible.limited)
-        later_limits = slowdown_limits(job.times, now_ms - job.arrived_ms + wait_ms)
-        fastest = min(slowdowns[view.name] for view in fast)
-        later_class = min(later_class, lateness_class(later_limits, fastest))
-    later_limit = limits[later_class]
-    chosen = [
-        view for view in slow_with_capacity if slowdowns[view.name] <= later_limit
-    ]
-    state.counters["waits_for_faster_workers" if not chosen else "waits_avoided"] += 1
-    return EligibleAgents(chosen or fast, slowdowns, eligible.limited)
+    state.counters["waits_for_faster_workers"] += 1
+    return preferred
 
 
 def job_slowdowns(
@@ -288,7 +274,7 @@
     state: BurstEntryState,
     job: ActiveJob,
     eligible: EligibleAgents,
-    limits: tuple[float, ...],
+    limit: float,
     withheld_agents: WithheldAgents,
     now_ms: int,
 ) -> None:
@@ -324,7 +310,7 @@
                 job,
                 view,
                 eligible,
-                limits,
+                limit,
                 avoided_agents,
                 now_ms,
             )
@@ -344,7 +330,7 @@
     job: ActiveJob,
     view: AgentView,
     eligible: EligibleAgents,
-    limits: tuple[float, ...],
+    limit: float,
     avoided_agents: frozenset[str],
     now_ms: int,
 ) -> Candidate:
@@ -363,7 +349,7 @@
         slowdown,
         view.data_centre == state.data_centre,
         view.name in avoided_agents,
-        lateness_class(limits, slowdown),
+        slowdown <= limit,
         is_likely_available(view, job, now_ms),
         is_cold=now_ms < view.cold_until_ms,
     )
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -336,9 +336,7 @@
 
 def job_times(route: Route, step: BurstStep) -> JobTimes:
     """Return what is known of the times of a job."""
-    return JobTimes.of_tasks(
-        step.tasks, step.estimate_ms, route.slack_factor, route.goal_ms
-    )
+    return JobTimes(step.estimate_ms, route.slack_factor, route.goal_ms)
 
 
 class PlacedRun:
--- a/src/sardineferry/decision/burst/placement.py
+++ b/src/sardineferry/decision/burst/placement.py
@@ -34,9 +34,8 @@
     ``slowdown`` is run time over expected work: higher is slower.
     ``avoided`` is true if a run of the task failed, was lost or was rejected there.
     ``likely_available`` is true if ``free`` is recent, or much more than a task
-    needs, so that other entries have probably not used it up. ``lateness_class`` rises
-    with the probability that the job is late there. ``is_cold`` is true soon after the
-    worker's start, while it is slow.
+    needs, so that other entries have probably not used it up. ``is_cold`` is true soon
+    after the worker's start, while it is slow.
     """
 
     agent: str
@@ -44,7 +43,7 @@
     slowdown: float
     same_data_centre: bool
     avoided: bool
-    lateness_class: int
+    meets_goal: bool
     likely_available: bool = True
     is_cold: bool = False
 
@@ -66,11 +65,11 @@
     ranking equal workers at random, makes that rarer.
     """
 
-    def key(item: Candidate) -> tuple[int, bool, bool, bool, bool, int, float]:
+    def key(item: Candidate) -> tuple[bool, bool, bool, bool, bool, int, float]:
         slowdown_class = round(math.log(item.slowdown, SLOWDOWN_CLASS_RATIO))
-        slowest_first = scarce and item.lateness_class == 0
+        slowest_first = scarce and item.meets_goal
         return (
-            item.lateness_class,
+            not item.meets_goal,
             item.is_cold,
             item.avoided,
             not item.same_data_centre,
--- a/src/sardineferry/decision/burst/worker_choice/__init__.py
+++ b/src/sardineferry/decision/burst/worker_choice/__init__.py
@@ -6,24 +6,20 @@
 from sardineferry.decision.burst.worker_choice.data_rack import data_factor
 from sardineferry.decision.burst.worker_choice.data_rack import is_in_rack
 from sardineferry.decision.burst.worker_choice.data_rack import slowdowns_with_data
-from sardineferry.decision.burst.worker_choice.lateness import LIKELY_LATE
 from sardineferry.decision.burst.worker_choice.lateness import JobTimes
 from sardineferry.decision.burst.worker_choice.lateness import expected_wait_ms
-from sardineferry.decision.burst.worker_choice.lateness import lateness_class
+from sardineferry.decision.burst.worker_choice.lateness import max_slowdown
 from sardineferry.decision.burst.worker_choice.lateness import max_wait_ms
-from sardineferry.decision.burst.worker_choice.lateness import slowdown_limits
 from sardineferry.decision.burst.worker_choice.trust import WorkerTrust
 
 __all__ = [
     "DEFAULT_REMOTE_FACTOR",
-    "LIKELY_LATE",
     "JobTimes",
     "WorkerTrust",
     "data_factor",
     "expected_wait_ms",
     "is_in_rack",
-    "lateness_class",
+    "max_slowdown",
     "max_wait_ms",
-    "slowdown_limits",
     "slowdowns_with_data",
 ]
