--- a/src/sardineferry/decision/burst/placement.py
+++ b/src/sardineferry/decision/burst/placement.py
@@ -2,9 +2,9 @@
 
 Workers differ in speed, and a job ends with its slowest task, so one worker that
 is too slow makes the whole job late. While capacity is ample, each task goes to
-the fastest of the suitable workers. When capacity is scarce, it goes to the slowest
-one on which it still meets its goal. That leaves the fast workers to long jobs and to
-jobs that have waited.
+a worker where the job is least probably late, and to the fastest of these. When
+capacity is scarce, it goes to the slowest one on which it is almost surely in time.
+That leaves the fast workers to long jobs and to jobs that have waited.
 """
 
 from __future__ import annotations
@@ -58,7 +58,8 @@
 ) -> list[Candidate]:
     """Return candidates from best to worst; earlier fields of the key count more.
 
-    Workers in the entry's data centre save traffic between data centres, and
+    Among those where the job is about as likely in time, workers in the entry's data
+    centre save traffic between data centres, and
     their reports are more recent. Entries that know of the same free capacity
     would all order it at once: preferring capacity that is likely available, and
     ranking equal workers at random, makes that rarer.
