Tests of processes beside whole hostile requests and unread bytes

The tests of clients that stop early hold, but a small, whole, legal request still ends an entry, and bytes received and not yet read were not counted.

--- a/bench/hostile_traffic.py
+++ b/bench/hostile_traffic.py
@@ -1,6 +1,7 @@
 """Clients that are not under the system's control: they stop early or don't read.
 
 They only send. What they get back is discarded, or left unread if ``reads`` is false.
+Some send whole requests of legal size that would take much memory or time to process.
 """
 
 from __future__ import annotations
@@ -17,16 +18,21 @@
 from sardineferry.loop import split_address
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Iterator
+    from collections.abc import Sequence
 
 __all__ = [
     "ProcessUsage",
     "chunked_body",
     "incomplete_frame",
     "open_clients",
+    "open_each",
+    "read_unread_bytes",
     "read_usage",
     "request_head",
     "sized_body",
+    "whole_request",
 ]
 
 # Bytes of a body that are never sent.
@@ -38,6 +44,12 @@
 READ_BYTES = 65_536
 KIB_PER_MB = 1_024
 STATUS_PATTERN = re.compile(r"^(VmHWM|VmRSS):\s+(\d+) kB$", re.MULTILINE)
+TCP_TABLE = Path("/proc/net/tcp")
+# Columns of the table: the local address, and the sizes of both queues of the socket.
+LOCAL_COLUMN = 1
+QUEUES_COLUMN = 4
+LISTEN_STATE = "0A"
+STATE_COLUMN = 3
 
 
 class ProcessUsage(NamedTuple):
@@ -59,12 +71,33 @@
     )
 
 
+def read_unread_bytes(ports: Iterable[int]) -> int:
+    """Return how many received bytes wait unread on connections to these ports.
+
+    Connections that have not been accepted yet count, too.
+    """
+    wanted = frozenset(ports)
+    unread = 0
+    for line in TCP_TABLE.read_text().splitlines()[1:]:
+        columns = line.split()
+        port = int(columns[LOCAL_COLUMN].rpartition(":")[2], 16)
+        # For a listening socket, the column is the length of its accept queue.
+        if port in wanted and columns[STATE_COLUMN] != LISTEN_STATE:
+            unread += int(columns[QUEUES_COLUMN].partition(":")[2], 16)
+    return unread
+
+
 def request_head(method: str, path: str, host: str, *headers: str) -> bytes:
     """Return the head of a request."""
     lines = (f"{method} {path} HTTP/1.1", f"Host: {host}", *headers, "", "")
     return "\r\n".join(lines).encode()
 
 
+def whole_request(method: str, path: str, host: str, body: bytes) -> bytes:
+    """Return a complete request with this body."""
+    return request_head(method, path, host, f"Content-Length: {len(body)}") + body
+
+
 def sized_body(method: str, path: str, host: str, size: int) -> bytes:
     """Return a request whose body of ``size`` bytes stops just before its end."""
     head = request_head(method, path, host, f"Content-Length: {size}")
@@ -130,9 +163,21 @@
     reads: bool = True,
 ) -> Iterator[None]:
     """Connect clients, let all send what they can, and keep them connected."""
+    with open_each(address, [data] * count, piece_bytes, reads):
+        yield
+
+
+@contextlib.contextmanager
+def open_each(
+    address: str,
+    requests: Sequence[bytes],
+    piece_bytes: int = READ_BYTES,
+    reads: bool = True,
+) -> Iterator[None]:
+    """Connect a client for each of these requests; else like ``open_clients``."""
     clients: list[HostileClient] = []
     try:
-        for _ in range(count):
+        for data in requests:
             with contextlib.suppress(OSError):
                 clients.append(HostileClient(address, data, piece_bytes, reads))
         send_all(clients)
