A message that can't be encoded takes no other messages with it

Callers saw: a job whose estimate exceeds 64 bits is ordered, and the orders and echoes of all other jobs to the same agent are lost with it; nothing repeats them, so an ordinary caller waits until its job is refused for lack of room.

The same holds for orders to a worker (no answer ever reaches the core), and for a log line with such a number, whose exception ends the handler that logs. A statement of waiting work had no bound.

Change: a link sends the messages of a batch that can be encoded and reports each other one to the core as SendRejected. The entry then ends the runs of such an order as refused, frees the reservation and gives its job up, as "not run" if no other run of it may have started. Requests to the worker that can't be encoded count as unanswered. If a handler of a caller's request fails, the caller gets no answer at once instead of never. Log lines fall back to the encoder of the standard library.

--- a/src/sardineferry/decision/agent/core.py
+++ b/src/sardineferry/decision/agent/core.py
@@ -131,6 +131,14 @@
         state.effects.append(Send(event.name, wire.Leaving("draining")))
 
 
+@handle_event.register
+def on_send_rejected(
+    event: events.SendRejected, state: AgentState, sender: str, now_ms: int
+) -> None:
+    """Count a message that was not sent; entries find out by time limits."""
+    state.counters["messages_rejected"] += 1
+
+
 @handle_event.register
 def on_link_down(
     event: events.LinkDown, state: AgentState, sender: str, now_ms: int
--- a/src/sardineferry/decision/burst/agent_links.py
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -23,6 +23,7 @@
 from sardineferry.decision.common_events import Drain
 from sardineferry.decision.common_events import LinkDown
 from sardineferry.decision.common_events import LinkUp
+from sardineferry.decision.common_events import SendRejected
 from sardineferry.messages.burst import AgentBeat
 from sardineferry.messages.burst import ConfigOffer
 from sardineferry.messages.burst import ConfigPart
@@ -90,6 +91,14 @@
     state.effects.append(Send(event.name, announce))
 
 
+@handle_agent_event.register(SendRejected)
+def on_send_rejected(
+    event: SendRejected, state: BurstAgentState, _sender: str, _now_ms: int
+) -> None:
+    """Count a message that was not sent; entries find out by time limits."""
+    state.counters["messages_rejected"] += 1
+
+
 @handle_agent_event.register(LinkDown)
 def on_link_down(
     event: LinkDown, state: BurstAgentState, _sender: str, now_ms: int
--- a/src/sardineferry/decision/burst/entry.py
+++ b/src/sardineferry/decision/burst/entry.py
@@ -11,10 +11,17 @@
 from sardineferry.decision.burst import entry_other_runs
 from sardineferry.decision.burst import entry_placement
 from sardineferry.decision.burst import entry_relay
+from sardineferry.decision.burst import rejected_orders
 from sardineferry.decision.burst import timing
 from sardineferry.decision.burst.entry_dispatch import handle_entry_event
 from sardineferry.decision.burst.entry_state import BurstEntryState
 from sardineferry.decision.burst.evacuation import entry_handlers as evacuation_handlers
+from sardineferry.decision.burst.requests import BurstReply
+from sardineferry.decision.burst.requests import CancelJob
+from sardineferry.decision.burst.requests import ReplyKind
+from sardineferry.decision.burst.requests import ShowJob
+from sardineferry.decision.burst.requests import ShowQueue
+from sardineferry.decision.burst.requests import SubmitJob
 from sardineferry.decision.common_effects import Exit
 from sardineferry.decision.common_effects import Send
 from sardineferry.messages.burst import EntryLeft
@@ -33,8 +40,11 @@
     entry_other_runs,
     entry_relay,
     evacuation_handlers,
+    rejected_orders,
 )
 
+CALLER_REQUESTS = (CancelJob, ShowJob, ShowQueue, SubmitJob)
+
 IDLE_TICK_INTERVAL_MS = 200
 # With active jobs, ticks also finish those that have waited too long and detect lost
 # agents. Placement needs no shorter interval, as events trigger it.
@@ -60,9 +70,20 @@
         self.now_ms = 0
 
     def handle(self, event: object, sender: str, now_ms: int) -> list[BurstEffect]:
-        """Apply an event from the link ``sender``, or from the process itself."""
+        """Apply an event from the link ``sender``, or from the process itself.
+
+        If a handler of a caller's request fails, the caller gets no answer at once,
+        instead of waiting for it.
+        """
         self.now_ms = now_ms
-        handle_entry_event(event, self.state, sender, now_ms)
+        try:
+            handle_entry_event(event, self.state, sender, now_ms)
+        except Exception:
+            if isinstance(event, CALLER_REQUESTS):
+                # The request may have been processed in part.
+                reply = BurstReply(event.token, ReplyKind.NO_ANSWER, "internal error")
+                self.state.effects.append(reply)
+            raise
         return self.take_effects()
 
     def conclude(self, now_ms: int, inputs_ms: int) -> list[BurstEffect]:
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -50,7 +50,7 @@
     from sardineferry.decision.burst.entry_state import BurstEntryState
     from sardineferry.decision.burst.entry_state import PlacedRun
 
-__all__ = ["check_agents", "send_due_echoes"]
+__all__ = ["apply_run_end", "check_agents", "send_due_echoes"]
 
 # Added to a task's attempt number when a worker refuses it because it has ended this
 # or a later attempt, which another entry ordered for an earlier submission.
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -124,6 +124,7 @@
     # Nobody: the bound after which a silent agent's leases have lapsed is over.
     BOUND = "agent lost"
     RESTARTED = "agent restarted"
+    NOT_SENT = "not sent"
 
 
 class EndProof(NamedTuple):
@@ -430,6 +431,12 @@
         self.reservations[order] = need
         self.available = self.available.minus(need)
 
+    def cancel_reservation(self, order: int) -> None:
+        """Remove the reservation of an order that was not sent."""
+        need = self.reservations.pop(order, None)
+        if need is not None:
+            self.available = self.available.plus(need)
+
     def clear_reservations(self) -> None:
         """Remove all reservations, as the next report includes all orders."""
         self.reservations.clear()
--- a/src/sardineferry/decision/burst/overload/backlog.py
+++ b/src/sardineferry/decision/burst/overload/backlog.py
@@ -37,6 +37,8 @@
 # An echo is due about every millisecond with 53 agents. Adding up 200 waiting jobs at
 # each of them would take a tenth of a core.
 STATEMENT_REFRESH_MS = 20
+# The work of jobs has no bound, but a message holds numbers of 64 bits.
+MAX_STATED_WORK = 2**63 - 1
 
 
 class WaitingWork(NamedTuple):
@@ -60,7 +62,8 @@
         if work > 0:
             sums[priority] = sums.get(priority, 0) + work
     return tuple(
-        PriorityWork(priority, int(sums[priority])) for priority in sorted(sums)
+        PriorityWork(priority, int(min(sums[priority], MAX_STATED_WORK)))
+        for priority in sorted(sums)
     )
 
 
--- a/src/sardineferry/decision/common_events.py
+++ b/src/sardineferry/decision/common_events.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["AddressesRead", "Drain", "LinkDown", "LinkUp"]
+__all__ = ["AddressesRead", "Drain", "LinkDown", "LinkUp", "SendRejected"]
 
 
 class AddressesRead(NamedTuple):
@@ -29,3 +29,13 @@
     """A link opened; ``name`` is the entry or agent at the other end."""
 
     name: str
+
+
+class SendRejected(NamedTuple):
+    """A message to ``link`` was not sent, as it can't be encoded.
+
+    No repetition of it can be sent either.
+    """
+
+    link: str
+    message: object
--- a/src/sardineferry/decision/entry/peer_handlers.py
+++ b/src/sardineferry/decision/entry/peer_handlers.py
@@ -37,6 +37,14 @@
     state.effects.append(Send(event.name, peers.build_hello(state)))
 
 
+@handle_event.register
+def on_send_rejected(
+    event: events.SendRejected, state: EntryState, sender: str, now_ms: int
+) -> None:
+    """Count a message that was not sent; deadlines end what depends on it."""
+    state.counters["messages_rejected"] += 1
+
+
 @handle_event.register
 def on_link_down(
     event: events.LinkDown, state: EntryState, sender: str, now_ms: int
--- a/src/sardineferry/decision/events.py
+++ b/src/sardineferry/decision/events.py
@@ -11,6 +11,7 @@
 from sardineferry.decision.common_events import Drain
 from sardineferry.decision.common_events import LinkDown
 from sardineferry.decision.common_events import LinkUp
+from sardineferry.decision.common_events import SendRejected
 from sardineferry.messages.job import Attempt
 from sardineferry.messages.job import Job
 from sardineferry.messages.job import TaskResult
@@ -27,6 +28,7 @@
     "LogRecord",
     "LogRecords",
     "PollJob",
+    "SendRejected",
     "SetPreset",
     "Submit",
     "TargetFinished",
--- a/src/sardineferry/logs.py
+++ b/src/sardineferry/logs.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import json
 import logging
 import sys
 import threading
@@ -94,7 +95,12 @@
 
 def encode_fields(fields: dict[str, object]) -> str:
     """Encode fields as a JSON object, with ``str`` for types that JSON lacks."""
-    return msgspec.json.encode(fields, enc_hook=str).decode()
+    try:
+        return msgspec.json.encode(fields, enc_hook=str).decode()
+    except (OverflowError, UnicodeEncodeError):
+        # Numbers beyond 64 bits, or text with lone surrogates. An exception here would
+        # end the handler that logs.
+        return json.dumps(fields, default=str)
 
 
 def install_handler(handler: logging.Handler, level: str) -> None:
--- a/src/sardineferry/messages/codec.py
+++ b/src/sardineferry/messages/codec.py
@@ -7,6 +7,7 @@
 
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import NamedTuple
 
 import msgspec
 
@@ -14,11 +15,23 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
-__all__ = ["Codec", "CodecError"]
+__all__ = ["Codec", "CodecError", "SplitBatch"]
+
+
+# What the encoder raises for numbers beyond 64 bits, text with lone surrogates, and
+# values of types that it does not support.
+ENCODER_ERRORS = (OverflowError, ValueError, TypeError, msgspec.MsgspecError)
 
 
 class CodecError(Exception):
-    """A frame is malformed or contains a message of an unknown type."""
+    """A frame is malformed, or a message can't be encoded or is of an unknown type."""
+
+
+class SplitBatch(NamedTuple):
+    """The messages of a batch that can be encoded, in order, and the others."""
+
+    encodable: list[object]
+    rejected: list[object]
 
 
 class Codec:
@@ -41,8 +54,29 @@
         self.frame_decoder = msgspec.msgpack.Decoder(list[tuple[str, msgspec.Raw]])
 
     def encode(self, messages: Iterable[object]) -> bytes:
-        """Encode messages, in order, as one frame."""
-        return self.encoder.encode([(type(item).__name__, item) for item in messages])
+        """Encode messages, in order, as one frame.
+
+        Raises:
+            CodecError: A message can't be encoded.
+
+        """
+        pairs = [(type(item).__name__, item) for item in messages]
+        try:
+            return self.encoder.encode(pairs)
+        except ENCODER_ERRORS as error:
+            raise CodecError(f"cannot encode: {error}") from error
+
+    def split(self, messages: Iterable[object]) -> SplitBatch:
+        """Separate the messages that can be encoded from those that can't."""
+        batch = SplitBatch([], [])
+        for message in messages:
+            try:
+                self.encode([message])
+            except CodecError:
+                batch.rejected.append(message)
+            else:
+                batch.encodable.append(message)
+        return batch
 
     def decode(self, frame: bytes) -> list[object]:
         """Decode a frame.
--- a/src/sardineferry/platform/worker.py
+++ b/src/sardineferry/platform/worker.py
@@ -61,7 +61,7 @@
     )
 )
 ENDED_BY_OUTCOME = {"done": ENDED_DONE, "failed": ENDED_FAILED}
-# Replaces a response that can't be processed.
+# Replaces a response that can't be processed, or to a request that can't be sent.
 NO_RESPONSE = HttpResult(0, b"", "unreadable")
 START_ANSWER_BY_REASON = {
     "fence": StartAnswer.FENCED,
@@ -210,12 +210,16 @@
         timeout_s: float = ORDER_TIMEOUT_S,
     ) -> None:
         """Send a request; ``to_event`` converts its result to an event."""
+        try:
+            content = msgspec.json.encode(body)
+        except (OverflowError, UnicodeEncodeError):
+            logger.exception("A request to %s can't be encoded.", path)
+            self.handle_result(path, NO_RESPONSE, to_event)
+            return
         headers = {"Content-Type": "application/json"}
         if worker_id:
             headers["Expected-Instance"] = worker_id
-        future = client.call(
-            "POST", path, msgspec.json.encode(body), headers, timeout_s
-        )
+        future = client.call("POST", path, content, headers, timeout_s)
         future.add_done_callback(
             lambda done: self.handle_result(path, done.result(), to_event)
         )
--- a/src/sardineferry/transport/dialer.py
+++ b/src/sardineferry/transport/dialer.py
@@ -7,6 +7,7 @@
 
 from sardineferry.decision.common_events import LinkDown
 from sardineferry.decision.common_events import LinkUp
+from sardineferry.decision.common_events import SendRejected
 from sardineferry.decision.retry_limits import backoff_ms
 from sardineferry.logs import part_logger
 from sardineferry.loop import dial
@@ -113,6 +114,7 @@
                 self.address,
                 self.on_messages,
                 self.on_link_closed,
+                self.on_rejected,
             )
         except OSError as error:
             connected_socket.close()
@@ -127,6 +129,10 @@
         """Put received messages into the mailbox."""
         self.mailbox.put_all(messages, self.address)
 
+    def on_rejected(self, link: Link, message: object) -> None:
+        """Report that a message was not sent, as it can't be encoded."""
+        self.mailbox.put(SendRejected(link.name, message))
+
     def on_link_closed(self, link: Link) -> None:
         """Report that the link has closed, and dial again."""
         self.links.remove(self.address, link)
--- a/src/sardineferry/transport/link.py
+++ b/src/sardineferry/transport/link.py
@@ -29,7 +29,8 @@
     """Exchanges messages with the other end until either end closes the link.
 
     ``on_messages`` gets the messages of each received frame. ``on_closed`` is
-    called once, whichever end closes the link, and also after an error.
+    called once, whichever end closes the link, and also after an error. ``on_rejected``
+    gets each message that could not be encoded and was therefore not sent.
     """
 
     __slots__ = (
@@ -44,6 +45,7 @@
         "name",
         "on_closed",
         "on_messages",
+        "on_rejected",
     )
 
     def __init__(
@@ -54,6 +56,7 @@
         name: str,
         on_messages: Callable[[Link, list[object]], None],
         on_closed: Callable[[Link], None],
+        on_rejected: Callable[[Link, object], None],
         guard: ClientGuard | None = None,
         max_frame_bytes: int = MAX_FRAME_BYTES,
     ) -> None:
@@ -70,6 +73,7 @@
         self.name = name
         self.on_messages = on_messages
         self.on_closed = on_closed
+        self.on_rejected = on_rejected
         self.frame_reader = FrameReader(max_frame_bytes)
         self.is_closed = False
         self.frames_sent = 0
@@ -127,8 +131,18 @@
         self.update_account()
 
     def send_frame(self, messages: list[object]) -> None:
-        """Send messages as one frame."""
-        data = encode_frame(self.codec.encode(messages))
+        """Send messages as one frame, without those that can't be encoded."""
+        try:
+            frame = self.codec.encode(messages)
+        except CodecError as error:
+            logger.error("A message to %s is not sent: %s.", self.name, error)
+            batch = self.codec.split(messages)
+            for message in batch.rejected:
+                self.on_rejected(self, message)
+            if not batch.encodable:
+                return
+            frame = self.codec.encode(batch.encodable)
+        data = encode_frame(frame)
         self.frames_sent += 1
         self.bytes_sent += len(data)
         self.connection.write(data)
--- a/src/sardineferry/transport/listener.py
+++ b/src/sardineferry/transport/listener.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sardineferry.decision.common_events import LinkDown
+from sardineferry.decision.common_events import SendRejected
 from sardineferry.logs import part_logger
 from sardineferry.loop import Acceptor
 from sardineferry.loop import ClientGuard
@@ -79,6 +80,7 @@
             "",
             self.on_messages,
             self.on_link_closed,
+            self.on_rejected,
             self.guard,
             MAX_UNNAMED_FRAME_BYTES,
         )
@@ -117,6 +119,10 @@
         if self.links.is_current(link.name, link):
             self.mailbox.put_all(messages, link.name)
 
+    def on_rejected(self, link: Link, message: object) -> None:
+        """Report that a message was not sent, as it can't be encoded."""
+        self.mailbox.put(SendRejected(link.name, message))
+
     def on_link_closed(self, link: Link) -> None:
         """Report that a link has closed, unless a newer one has replaced it."""
         self.unnamed.pop(link, None)
--- a/tests/messages/test_codec.py
+++ b/tests/messages/test_codec.py
@@ -39,6 +39,21 @@
     assert wire.CODEC.decode(frame) == [message, wire.LeaseEcho(1)]
 
 
+@pytest.mark.parametrize(
+    "bad",
+    [wire.LeaseEcho(2**64), wire.LeaseEcho(-(2**63) - 1), wire.Leaving("\ud800")],
+    ids=["above", "below", "text"],
+)
+def test_message_that_cannot_be_encoded_is_separated_from_others(
+    bad: wire.WireMessage,
+) -> None:
+    good: list[object] = [wire.LeaseEcho(1), wire.LeaseEcho(2)]
+    messages = [good[0], bad, good[1]]
+    with pytest.raises(CodecError):
+        wire.CODEC.encode(messages)
+    assert wire.CODEC.split(messages) == (good, [bad])
+
+
 @pytest.mark.parametrize(
     "frame",
     [
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -10,6 +10,7 @@
 
 from sardineferry.decision.common_events import LinkDown
 from sardineferry.decision.common_events import LinkUp
+from sardineferry.decision.common_events import SendRejected
 from sardineferry.deployment.agent import REDIAL_POLICY
 from sardineferry.loop import IoLoop
 from sardineferry.mailbox import Mailbox
@@ -101,6 +102,21 @@
     assert near.next_event() == (wire.LeaseEcho(7), dialer.address)
 
 
+def test_message_that_cannot_be_encoded_takes_no_other_with_it(
+    near: LinkEnd, far: LinkEnd, dialer: Dialer
+) -> None:
+    near.next_event()
+    near.links.send(dialer.address, [ANNOUNCE])
+    far.next_event()
+    bad = wire.LeaseEcho(2**64)
+    near.links.send(dialer.address, [wire.LeaseEcho(1), bad, wire.LeaseEcho(2)])
+    assert near.next_event() == (SendRejected(dialer.address, bad), "")
+    assert [far.next_event()[0] for _ in range(2)] == [
+        wire.LeaseEcho(1),
+        wire.LeaseEcho(2),
+    ]
+
+
 def test_closed_link_is_reported_and_redialled(
     near: LinkEnd, far: LinkEnd, dialer: Dialer
 ) -> None:
