Check numbers where they come in

Callers saw: jobs with numbers such as 2^63 or -1 in EstimateMs or AntiAffinity were admitted.

Change: needs, counts and durations have bounds of 31 bits, times and sequence numbers of 64 bits, in jobs, heartbeats, the worker's answers and the configuration. A job that exceeds one is refused with 400; the message names the field and the value. A placement of fewer than one task is none. Deeply nested bodies are refused with 400 instead of 500.

--- a/src/sardineferry/decision/burst/placement.py
+++ b/src/sardineferry/decision/burst/placement.py
@@ -100,7 +100,7 @@
         fits = count_fitting(candidate.free, need, remaining)
         if spread_limit:
             fits = min(fits, spread_limit)
-        if fits:
+        if fits > 0:
             placed.append((candidate.agent, fits))
             remaining -= fits
     return placed
--- a/src/sardineferry/platform/callers.py
+++ b/src/sardineferry/platform/callers.py
@@ -7,6 +7,7 @@
 
 import re
 from typing import TYPE_CHECKING
+from typing import Annotated
 
 import msgspec
 from returns.result import Failure
@@ -23,6 +24,9 @@
 from sardineferry.decision.burst.requests import ShowQueue
 from sardineferry.decision.burst.requests import SubmitJob
 from sardineferry.messages.burst import Resources
+from sardineferry.platform.json_values import MAX_QUANTITY
+from sardineferry.platform.json_values import Quantity
+from sardineferry.platform.json_values import describe_invalid
 from sardineferry.web import json_response
 
 if TYPE_CHECKING:
@@ -40,6 +44,7 @@
 JOB_ID_PATTERN = re.compile(r"[0-9a-f]{16}")
 DEADLINE_PATTERN = re.compile(r"[0-9]{1,9}")
 MAX_SPEC_BYTES = 4_000
+TaskCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_QUANTITY)]
 HTTP_OK = 200
 
 STATUS_BY_REPLY_KIND = {
@@ -59,19 +64,19 @@
 class StepBody(msgspec.Struct):
     """A step in the JSON body; callers omit fields that are 0, false or empty."""
 
-    tasks: int = msgspec.field(name="Count", default=1)
-    cpu: int = msgspec.field(name="Cpu", default=0)
-    memory_mb: int = msgspec.field(name="MemMb", default=0)
-    accelerators: int = msgspec.field(name="Gpu", default=0)
-    estimate_ms: int = msgspec.field(name="EstimateMs", default=0)
-    after: list[int] = msgspec.field(name="After", default_factory=list)
+    tasks: TaskCount = msgspec.field(name="Count", default=1)
+    cpu: Quantity = msgspec.field(name="Cpu", default=0)
+    memory_mb: Quantity = msgspec.field(name="MemMb", default=0)
+    accelerators: Quantity = msgspec.field(name="Gpu", default=0)
+    estimate_ms: Quantity = msgspec.field(name="EstimateMs", default=0)
+    after: list[Quantity] = msgspec.field(name="After", default_factory=list)
     gang: bool = msgspec.field(name="Gang", default=False)
     same_rack: bool = msgspec.field(name="SameRack", default=False)
     required_label: str = msgspec.field(name="Requires", default="")
     preferred_rack: str = msgspec.field(name="DataRack", default="")
-    spread_limit: int = msgspec.field(name="AntiAffinity", default=0)
+    spread_limit: Quantity = msgspec.field(name="AntiAffinity", default=0)
     best_effort: bool = msgspec.field(name="Utilization", default=False)
-    target_ms: int = msgspec.field(name="TargetMs", default=0)
+    target_ms: Quantity = msgspec.field(name="TargetMs", default=0)
     runs_until_cancelled: bool = msgspec.field(name="Daemon", default=False)
 
 
@@ -82,23 +87,19 @@
     steps: list[StepBody] = msgspec.field(name="Steps", default_factory=list)
     burst: bool = msgspec.field(name="Burstable", default=False)
     runs_until_cancelled: bool = msgspec.field(name="Daemon", default=False)
-    times: int = msgspec.field(name="Times", default=0)
+    times: Quantity = msgspec.field(name="Times", default=0)
 
 
 def parse_job(job_id: str, body: bytes) -> Result[BurstJob, str]:
     """Decode and check a submitted job."""
     try:
         submitted = msgspec.json.decode(body, type=JobBody)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Failure(f"bad body: {error}")
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return Failure(f"bad body: {describe_invalid(body, error)}")
     if len(submitted.spec.encode()) > MAX_SPEC_BYTES:
         return Failure(f"Spec is longer than {MAX_SPEC_BYTES} bytes")
     if not submitted.steps:
         return Failure("Steps is empty")
-    if any(
-        step.tasks < 1 or min(resources_per_task(step)) < 0 for step in submitted.steps
-    ):
-        return Failure("Count must be positive, and no need negative")
     unsupported = first_unsupported_feature(submitted)
     # A job with an unsupported feature is refused. One of its steps is enough for that;
     # decoding the 87,000 of a body of 256 KiB takes 18 MB.
--- a/src/sardineferry/platform/heartbeats.py
+++ b/src/sardineferry/platform/heartbeats.py
@@ -13,6 +13,9 @@
 from sardineferry.decision.burst.worker import WorkerReported
 from sardineferry.logs import part_logger
 from sardineferry.messages.burst import Resources
+from sardineferry.platform.json_values import Integer
+from sardineferry.platform.json_values import Quantity
+from sardineferry.platform.json_values import describe_invalid
 from sardineferry.web import json_response
 
 if TYPE_CHECKING:
@@ -35,9 +38,9 @@
 class RoomBody(msgspec.Struct):
     """A worker's total resources, whether in use or not."""
 
-    cpu: int = msgspec.field(name="Cpu", default=0)
-    memory_mb: int = msgspec.field(name="MemMb", default=0)
-    accelerators: int = msgspec.field(name="Gpu", default=0)
+    cpu: Quantity = msgspec.field(name="Cpu", default=0)
+    memory_mb: Quantity = msgspec.field(name="MemMb", default=0)
+    accelerators: Quantity = msgspec.field(name="Gpu", default=0)
 
 
 class HeartbeatBody(msgspec.Struct):
@@ -45,26 +48,24 @@
 
     service: str = msgspec.field(name="Service")
     state: str = msgspec.field(name="State")
-    sequence: int = msgspec.field(name="Seq")
+    sequence: Integer = msgspec.field(name="Seq")
     room: RoomBody = msgspec.field(name="Room")
     labels: list[str] = msgspec.field(name="Labels", default_factory=list)
-    clock_ms: int = msgspec.field(name="ClockMs", default=0)
-    cold_left_ms: int = msgspec.field(name="ColdLeftMs", default=0)
-    born: int = 0
+    clock_ms: Integer = msgspec.field(name="ClockMs", default=0)
+    cold_left_ms: Integer = msgspec.field(name="ColdLeftMs", default=0)
+    born: Integer = 0
 
 
 def parse_heartbeat(worker_id: str, body: bytes) -> Result[WorkerReported, str]:
     """Decode and check a heartbeat."""
     try:
         heartbeat = msgspec.json.decode(body, type=HeartbeatBody)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Failure(str(error))
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return Failure(describe_invalid(body, error))
     draining = DRAINING_BY_STATE.get(heartbeat.state)
     if draining is None:
         return Failure(f"unknown state {heartbeat.state!r}")
     room = heartbeat.room
-    if min(room.cpu, room.memory_mb, room.accelerators) < 0:
-        return Failure("negative room")
     return Success(
         WorkerReported(
             worker_id=worker_id,
--- a/src/sardineferry/platform/worker.py
+++ b/src/sardineferry/platform/worker.py
@@ -23,6 +23,7 @@
 from sardineferry.messages.burst import ENDED_FAILED
 from sardineferry.messages.burst import ENDED_LOST
 from sardineferry.messages.burst import RunRef
+from sardineferry.platform.json_values import Integer
 from sardineferry.web import HttpClient
 from sardineferry.web import HttpResult
 
@@ -108,7 +109,7 @@
 class OrderResponse(msgspec.Struct):
     """The body of the worker's response to an order."""
 
-    clock_ms: int | None = msgspec.field(name="ClockMs", default=None)
+    clock_ms: Integer | None = msgspec.field(name="ClockMs", default=None)
     reason: str = msgspec.field(name="Reason", default="")
 
 
@@ -121,8 +122,8 @@
 
     running: list[list[object]] = msgspec.field(name="Running")
     finished: list[list[object]] = msgspec.field(name="Finished")
-    clock_ms: int | None = msgspec.field(name="ClockMs", default=None)
-    born: int | None = None
+    clock_ms: Integer | None = msgspec.field(name="ClockMs", default=None)
+    born: Integer | None = None
 
 
 class WorkerClient:
@@ -291,8 +292,13 @@
 
 def decode_run(row: list[object]) -> ListedRun:
     """Decode a row of the list of runs."""
-    run = msgspec.convert([row[0], row[1]], RunRef)
-    return ListedRun(run, msgspec.convert(row[3], int, strict=False))
+    percent = msgspec.convert(row[3], Integer, strict=False)
+    return ListedRun(decode_run_ref(row[0], row[1]), percent)
+
+
+def decode_run_ref(task: object, attempt: object) -> RunRef:
+    """Decode the reference to a run, which is sent on to entries."""
+    return RunRef(msgspec.convert(task, str), msgspec.convert(attempt, Integer))
 
 
 def decode_end(row: list[object]) -> ListedEnd:
@@ -301,6 +307,6 @@
     Only "done" and "failed" are outcomes. With any other word, usually "stopped" or
     "lapsed", the run ended without one and counts as lost.
     """
-    number = msgspec.convert(row[0], int)
-    run = msgspec.convert([row[1], row[2]], RunRef)
+    number = msgspec.convert(row[0], Integer)
+    run = decode_run_ref(row[1], row[2])
     return ListedEnd(number, run, ENDED_BY_OUTCOME.get(str(row[3]), ENDED_LOST))
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -114,6 +114,7 @@
         b'{"Steps":[{"Count":0}]}',
         b'{"Steps":[{"Cpu":-1}]}',
         b'{"Spec":1,"Steps":[{}]}',
+        b'{"Steps":' + b"[" * 100_000,
         json.dumps({"Spec": "x" * 4_001, "Steps": [STEP]}).encode(),
     ],
 )
@@ -121,6 +122,20 @@
     assert not is_successful(parse_job(JOB_ID, body))
 
 
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        (field, value)
+        for field in ("Count", "Cpu", "MemMb", "Gpu", "EstimateMs", "AntiAffinity")
+        for value in (-1, 2**31, 2**53 + 1, 2**63, 2**64, 10**30)
+    ],
+)
+def test_number_out_of_range_is_rejected_with_its_field(field: str, value: int) -> None:
+    body = json.dumps({"Steps": [{**STEP, field: value}]}).encode()
+    reason = parse_job(JOB_ID, body).failure()
+    assert reason.endswith(f": {value} - at `$.Steps[0].{field}`")
+
+
 @pytest.mark.parametrize(
     ("headers", "deadline_ms"),
     [
@@ -168,6 +183,11 @@
         {"Room": {"Cpu": -1}},
         {"Labels": "a"},
         {"born": "yesterday"},
+        {"born": 2**63},
+        {"Seq": 10**30},
+        {"ClockMs": 2**64},
+        {"ColdLeftMs": -(2**63) - 1},
+        {"Room": {"Cpu": 2**31}},
     ],
 )
 def test_heartbeat_with_an_invalid_field_is_rejected(change: dict[str, Any]) -> None:
@@ -199,6 +219,8 @@
         b'{"Version":"7"}',
         b'{"Version":7,"Routes":{}}',
         b'{"Version":7,"Routes":[{"Host":"h"}]}',
+        b'{"Version":9223372036854775808}',
+        b'{"Version":7,"Limits":{"MaxBodyBytes":4294967296}}',
     ],
 )
 def test_invalid_configuration_is_rejected(text: bytes) -> None:
