Bound the tasks of jobs and the runs that an agent starts at once

Callers saw: one request of 150 bytes with a Count of 1,000,000 took 383 MB of an entry on a machine of 100 MB; 40 jobs of 10,000 tasks took 165 MB and an ordinary job was refused. 100,000 tasks of a thousandth of a core gave an agent 8,000 starts at once: it was silent, its link was dropped, and every caller got "no worker of the service is linked".

Cause: an entry makes an object for each task before anything is weighed, and goes through all tasks of all jobs for each event. Nothing but the resources of a worker bounded an order.

Change (decision/burst/run_limits.py, pure): - A job of more than 5,000 tasks is refused on arrival. So is a wide one (100 tasks and more) whose last tasks could not start in time even if it had all known workers to itself; one that was admitted before the workers were known is given up. - The tasks of all jobs have a budget, 32 for each permitted connection. A job may take a quarter of what is free, so narrow jobs find space beside wide ones and nobody has to be evicted. - Orders have at most 64 runs, an agent starts at most 128 runs at once, has at most 1,024, and offers no capacity while it can't start more. A job that reaches such a limit leaves the agent to those behind it. - An entry orders at most 256 runs of a job and 1,024 in all before it reads its sockets again. Waiting and done tasks are counted, not searched for. - A copy of a job that others have run is compared by number first.

Jobs of fewer than 100 tasks are not examined for their width.

--- a/src/sardineferry/decision/burst/agent_links.py
+++ b/src/sardineferry/decision/burst/agent_links.py
@@ -371,7 +371,7 @@
 
 def offered_capacity(state: BurstAgentState, view: EntryView) -> tuple[Resources, bool]:
     """Return the worker's free capacity, and whether the entry may order runs."""
-    return state.free(), state.accepting() and not is_retiring(state, view)
+    return state.offered(), state.accepting() and not is_retiring(state, view)
 
 
 def send_due_capacity_updates(state: BurstAgentState, now_ms: int) -> None:
--- a/src/sardineferry/decision/burst/agent_runs.py
+++ b/src/sardineferry/decision/burst/agent_runs.py
@@ -14,6 +14,7 @@
 from sardineferry.decision.burst.effects import LogDecision
 from sardineferry.decision.burst.effects import ObserveLatency
 from sardineferry.decision.burst.evacuation import EVACUATED
+from sardineferry.decision.burst.run_limits import MAX_STARTING_RUNS
 from sardineferry.decision.burst.stalls import is_stalled
 from sardineferry.decision.burst.worker import StartAnswer
 from sardineferry.decision.burst.worker import StartAnswered
@@ -92,6 +93,7 @@
     state.capacity_changed = True
     is_valid = now_ms <= event.expires_ms
     free = state.free()
+    startable = state.startable_runs()
     runs_by_task = {run.ref.task: run for run in state.runs.values()}
     for ref in event.runs:
         reason = ""
@@ -109,10 +111,13 @@
             reason = "not accepting"
         elif not free.covers(event.need):
             reason = "no room"
+        elif not startable:
+            reason = "too many runs"
         if reason:
             refuse_run(state, view.name, ref, reason, now_ms)
             continue
         free = free.minus(event.need)
+        startable -= 1
         run = Run(
             ref,
             view.name,
@@ -245,6 +250,9 @@
             run.started_ms = run.started_ms or event.sent_ms
             run.confirmed_ms = now_ms
             run.advance("start")
+            if len(state.runs) >= MAX_STARTING_RUNS:
+                # The offered capacity may have been held back for this start.
+                state.capacity_changed = True
         case StartAnswer.UNANSWERED:
             state.counters["starts_unanswered"] += 1
             resend_start(state, run, now_ms)
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -14,6 +14,8 @@
 from sardineferry.decision.burst.config_relay import ConfigRelay
 from sardineferry.decision.burst.evacuation import EvacuationRelay
 from sardineferry.decision.burst.overload.agent_backlog import StatedBacklogs
+from sardineferry.decision.burst.run_limits import MAX_RUNS
+from sardineferry.decision.burst.run_limits import MAX_STARTING_RUNS
 from sardineferry.decision.burst.slowdown import SlowdownEstimator
 from sardineferry.messages.burst import Resources
 from sardineferry.messages.burst import RunEnded
@@ -335,6 +337,17 @@
         """Return the resources that no run uses, not even one being stopped."""
         return (self.total or Resources()).minus(self.reserved)
 
+    def startable_runs(self) -> int:
+        """Return how many more runs may be started now, whatever they need."""
+        if len(self.runs) < MAX_STARTING_RUNS:
+            return MAX_STARTING_RUNS - len(self.runs)
+        starting = sum(run.status == "starting" for run in self.runs.values())
+        return max(0, min(MAX_STARTING_RUNS - starting, MAX_RUNS - len(self.runs)))
+
+    def offered(self) -> Resources:
+        """Return the resources that entries may use: none while no run may start."""
+        return self.free() if self.startable_runs() else Resources()
+
     def accepting(self) -> bool:
         """Return whether runs may be started."""
         return (
--- a/src/sardineferry/decision/burst/entry.py
+++ b/src/sardineferry/decision/burst/entry.py
@@ -153,6 +153,8 @@
     def tick_interval_ms(self) -> int:
         """Return the longest time until the next tick."""
         state = self.state
+        if state.placement_unfinished:
+            return 1
         busy = state.jobs or state.early_jobs or state.drain_started_ms is not None
         interval_ms = BUSY_TICK_INTERVAL_MS if busy else IDLE_TICK_INTERVAL_MS
         relay_due_ms = state.run_relay.next_due_ms()
--- a/src/sardineferry/decision/burst/entry_agents.py
+++ b/src/sardineferry/decision/burst/entry_agents.py
@@ -328,7 +328,7 @@
             job.ran_before = True
         if event.reason in REASONS_TO_AVOID_WORKER:
             # Otherwise the task could be sent there again at once and be refused.
-            task.avoided_agents.add(view.name)
+            task.avoid(view.name)
             record_failure(state, view, now_ms)
         else:
             fail_probe(state, view, now_ms)
@@ -344,7 +344,7 @@
         task.advance("done")
         finish_job_if_done(state, job, now_ms)
         return
-    task.avoided_agents.add(view.name)
+    task.avoid(view.name)
     if event.how == ENDED_FAILED:
         task.failures += 1
         record_failure(state, view, now_ms)
--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -32,6 +32,11 @@
 from sardineferry.decision.burst.requests import ShowJob
 from sardineferry.decision.burst.requests import ShowQueue
 from sardineferry.decision.burst.requests import SubmitJob
+from sardineferry.decision.burst.run_limits import MAX_TASKS_PER_JOB
+from sardineferry.decision.burst.run_limits import MIN_WIDE_TASKS
+from sardineferry.decision.burst.run_limits import count_slots
+from sardineferry.decision.burst.run_limits import fits_task_budget
+from sardineferry.decision.burst.run_limits import least_run_ms
 from sardineferry.decision.common_effects import Send
 from sardineferry.messages.burst import StopRuns
 
@@ -42,6 +47,7 @@
     from sardineferry.decision.burst.entry_state import ActiveTask
     from sardineferry.decision.burst.entry_state import BurstEntryState
     from sardineferry.decision.burst.requests import BurstJob
+    from sardineferry.decision.burst.requests import BurstStep
 
 __all__ = [
     "admit_early_jobs",
@@ -167,7 +173,9 @@
 def is_done_elsewhere(state: BurstEntryState, job: BurstJob) -> bool:
     """Return whether other entries have run all tasks of a job."""
     done = state.other_runs.done_tasks(job.job_id)
-    return bool(done) and set(range(job.steps[0].tasks)) <= set(done)
+    # Compared first, as the number of tasks has not been checked yet.
+    tasks = job.steps[0].tasks
+    return tasks <= len(done) and done >= set(range(tasks))
 
 
 def answer_ended_job(
@@ -197,6 +205,9 @@
     if route.needs_advice:
         return ("not supported: routes that need advice", 0)
     step = event.job.steps[0]
+    too_many = find_task_limit_refusal(state, step)
+    if too_many is not None:
+        return too_many
     profiles = [
         view.profile
         for view in state.agents.values()
@@ -233,6 +244,13 @@
     # A job that another entry runs waits for the ends of these runs, not for capacity.
     if discovering or event.job.job_id in state.other_runs:
         return None
+    if step.tasks >= MIN_WIDE_TASKS:
+        left_ms = max_job_ms(route, step)
+        if event.deadline_ms:
+            left_ms = min(left_ms, event.deadline_ms)
+        needed_ms = least_job_ms(state, event.job, route, step.tasks)
+        if needed_ms > left_ms:
+            return (describe_width(step.tasks, needed_ms, left_ms), 0)
     if is_prioritised(state, route):
         if can_be_overtaken(state, route):
             goal_ms = response_time_goal_ms(route, step.estimate_ms)
@@ -247,6 +265,53 @@
     return None
 
 
+def find_task_limit_refusal(
+    state: BurstEntryState, step: BurstStep
+) -> tuple[str, int] | None:
+    """Return why a job with so many tasks is refused in any case, or None."""
+    if step.tasks > MAX_TASKS_PER_JOB:
+        return (f"{step.tasks} tasks exceed the limit of {MAX_TASKS_PER_JOB}", 0)
+    if not fits_task_budget(step.tasks, state.task_count, state.task_limit):
+        reason = (
+            f"no memory for {step.tasks} tasks beside {state.task_count} of "
+            f"{state.task_limit}"
+        )
+        return (reason, DEFAULT_RETRY_MS)
+    return None
+
+
+def max_job_ms(route: Route, step: BurstStep) -> float:
+    """Return after which time a started job is given up if tasks still wait.
+
+    With a goal that is shorter than a run, the number of tasks is not what makes a job
+    late.
+    """
+    goal_ms = response_time_goal_ms(route, step.estimate_ms)
+    return ABANDON_AFTER_GOALS * max(step.estimate_ms, goal_ms)
+
+
+def least_job_ms(
+    state: BurstEntryState, job: BurstJob, route: Route, tasks: int
+) -> float:
+    """Return how long these tasks wait at least if the job had all workers to itself.
+
+    All known workers count, also those whose agents have no link at present.
+    """
+    step = job.steps[0]
+    slots = [
+        count_slots(view.profile.total, step.need, step.spread_limit)
+        for view in state.agents.values()
+        if can_run_job(view, job, route) and view.profile is not None
+    ]
+    slowdown = state.worker_slowdowns.typical_slowdown()
+    return least_run_ms(tasks, step.estimate_ms, slots, slowdown)
+
+
+def describe_width(tasks: int, needed_ms: float, left_ms: float) -> str:
+    """Return why a job is refused that has too many tasks for all workers."""
+    return f"{tasks} tasks take {needed_ms:.0f} ms at least, {left_ms:.0f} ms are left"
+
+
 class WorkerRates(NamedTuple):
     """Work per ms of all workers that may be sent orders, and this entry's share."""
 
@@ -524,6 +589,7 @@
         max_wait_ms = max_decision_wait_ms(job.goal_ms, max_wait_ms)
     job.latest_start_ms = arrived_ms + int(max_wait_ms)
     state.jobs[event.job.job_id] = job
+    state.task_count += job.step.tasks
     state.task_durations.add(route.priority, job.step.estimate_ms)
     record_caller(state, event, arrived_ms)
     state.queue.append(job)
@@ -682,7 +748,8 @@
     """
     if kind is ReplyKind.NOT_RUN and job.may_have_run:
         kind = ReplyKind.NO_ANSWER
-    state.jobs.pop(job.job.job_id, None)
+    if state.jobs.pop(job.job.job_id, None) is not None:
+        state.task_count -= job.step.tasks
     if job in state.queue:
         state.queue.remove(job)
         state.placement_due = True
@@ -717,13 +784,14 @@
         **terms,
     }
     state.effects.append(LogDecision("job ended", fields))
+    job.forget_tasks()
 
 
 def finish_job_if_done(state: BurstEntryState, job: ActiveJob, now_ms: int) -> None:
     """Finish a job as completed once all its tasks are done."""
     if not state.is_active(job):
         return
-    if all(task.status == "done" for task in job.tasks):
+    if job.is_done:
         finish_job(state, job, ReplyKind.COMPLETED, "all tasks done", now_ms)
 
 
@@ -769,6 +837,7 @@
         elif may_wait and now_ms > job.arrived_ms + ABANDON_AFTER_GOALS * job.goal_ms:
             reason = "held too long" if job.is_held else "no room for a repeat"
             finish_job(state, job, ReplyKind.NO_ANSWER, reason, now_ms)
+    give_up_wide_jobs(state, now_ms)
     give_up_unstartable_jobs(state, now_ms)
     state.next_refusal_ms = min(
         (
@@ -780,6 +849,24 @@
     )
 
 
+def give_up_wide_jobs(state: BurstEntryState, now_ms: int) -> None:
+    """Give up queued jobs that can't end in time even with all workers to themselves.
+
+    They were admitted while workers were unknown, or workers have left since.
+    """
+    if state.is_discovering_workers(now_ms):
+        return
+    for job in list(state.queue):
+        tasks = job.counts.waiting
+        if tasks < MIN_WIDE_TASKS or job.is_held:
+            continue
+        left_ms = job.arrived_ms + max_job_ms(job.route, job.step) - now_ms
+        needed_ms = least_job_ms(state, job.job, job.route, tasks)
+        if needed_ms > left_ms:
+            reason = describe_width(tasks, needed_ms, left_ms)
+            finish_job(state, job, ReplyKind.NOT_RUN, reason, now_ms)
+
+
 def give_up_unstartable_jobs(state: BurstEntryState, now_ms: int) -> None:
     """Refuse queued jobs of services with priorities that can't start in time.
 
--- a/src/sardineferry/decision/burst/entry_other_runs.py
+++ b/src/sardineferry/decision/burst/entry_other_runs.py
@@ -159,7 +159,7 @@
         fields: dict[str, object] = {
             "job": job_id,
             "held_ms": now_ms - job.arrived_ms,
-            "waiting": len(job.waiting_tasks()),
+            "waiting": job.counts.waiting,
         }
         state.effects.append(LogDecision("job released", fields))
 
--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from itertools import islice
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -27,6 +28,9 @@
 from sardineferry.decision.burst.placement import is_capacity_scarce
 from sardineferry.decision.burst.placement import place_tasks
 from sardineferry.decision.burst.placement import rank_candidates
+from sardineferry.decision.burst.run_limits import MAX_RUNS_PER_JOB_AND_PASS
+from sardineferry.decision.burst.run_limits import MAX_RUNS_PER_ORDER
+from sardineferry.decision.burst.run_limits import MAX_RUNS_PER_PASS
 from sardineferry.decision.burst.worker_choice import DEFAULT_REMOTE_FACTOR
 from sardineferry.decision.burst.worker_choice import data_factor
 from sardineferry.decision.burst.worker_choice import expected_wait_ms
@@ -90,6 +94,16 @@
     limited: frozenset[str] = frozenset()
 
 
+class PlacedTasks(NamedTuple):
+    """How many tasks of a job were placed, and whether a limit kept others waiting."""
+
+    runs: int
+    reached_limit: bool
+
+
+NONE_PLACED = PlacedTasks(0, reached_limit=False)
+
+
 def find_eligible_agents(state: BurstEntryState, now_ms: int) -> EligibleAgents:
     """Return all agents that may be sent orders now."""
     views = [
@@ -129,7 +143,8 @@
     """
     if not state.queue or not state.placement_due or state.is_awaiting_links(now_ms):
         return
-    state.placement_due = False
+    state.placement_due = state.placement_unfinished = False
+    allowance = MAX_RUNS_PER_PASS
     min_cpu = min(job.step.need.cpu for job in state.queue)
     eligible = find_eligible_agents(state, now_ms)
     with_capacity = {
@@ -163,14 +178,23 @@
             now_ms,
         )
         with leave_capacity(state, job, preferred.views, now_ms):
-            place_job_tasks(state, job, preferred, limit, withheld_agents, now_ms)
-        cpu_ahead += job.step.need.cpu * len(job.waiting_tasks())
-        if job.placeable_tasks():
+            placed = place_job_tasks(
+                state, job, preferred, limit, withheld_agents, allowance, now_ms
+            )
+        allowance -= placed.runs
+        cpu_ahead += job.step.need.cpu * job.counts.waiting
+        if placed.reached_limit:
+            # There is capacity left, which later jobs may use.
+            state.placement_due = state.placement_unfinished = True
+        elif job.has_placeable_task():
             withheld_agents.withhold(
                 (view.name for view in preferred.views), job.priority
             )
-        elif not job.waiting_tasks():
+        elif not job.counts.waiting:
             state.queue.remove(job)
+        if allowance <= 0:
+            state.placement_due = state.placement_unfinished = True
+            break
     if state.queue:
         request_capacity_updates(state, eligible.views, now_ms)
 
@@ -233,7 +257,7 @@
     # The fast workers will be used in any case if other jobs wait for them, too.
     if not cpu_ahead and not job.started:
         wait_ms = expected_wait_ms(
-            need.cpu * len(job.waiting_tasks()),
+            need.cpu * job.counts.waiting,
             sum(view.profile.total.cpu for view in fast if view.profile is not None),
             state.run_time.value,
             count_links_per_agent(state.data_centre, state.known_entries),
@@ -276,22 +300,26 @@
     eligible: EligibleAgents,
     limit: float,
     withheld_agents: WithheldAgents,
+    allowance: int,
     now_ms: int,
-) -> None:
+) -> PlacedTasks:
     """Place as many tasks of a job as fit at agents that are not withheld from it.
 
-    Tasks that avoid the same agents are placed together.
+    Tasks that avoid the same agents are placed together. At most ``allowance`` runs are
+    ordered.
     """
     step = job.step
     with_capacity = [
         view
         for view in eligible.views
         if view.available.cpu >= step.need.cpu
+        and view.orderable_runs()
         and not withheld_agents.is_withheld(view.name, job.priority)
         and view.available.covers(step.need)
     ]
     if not with_capacity:
-        return
+        return NONE_PLACED
+    allowance = min(allowance, MAX_RUNS_PER_JOB_AND_PASS)
     scarce = is_capacity_scarce(
         sum(view.available.cpu for view in eligible.views),
         sum(
@@ -301,8 +329,10 @@
         ),
     )
     groups: dict[frozenset[str], list[ActiveTask]] = {}
-    for task in job.placeable_tasks():
-        groups.setdefault(frozenset(task.avoided_agents), []).append(task)
+    for task in islice(job.placeable_tasks(), allowance):
+        groups.setdefault(task.avoided_agents, []).append(task)
+    runs = 0
+    is_limited = False
     for avoided_agents, tasks in groups.items():
         found = [
             make_candidate(
@@ -318,11 +348,16 @@
         ]
         candidates = rank_candidates(found, scarce, state.random)
         remaining = tasks
+        limits = {candidate.agent: candidate.max_tasks for candidate in candidates}
         for name, count in place_tasks(
             len(tasks), step.need, step.spread_limit, candidates
         ):
             chosen, remaining = remaining[:count], remaining[count:]
             send_start_order(state, job, state.agents[name], chosen, now_ms)
+            runs += count
+            is_limited = is_limited or count == limits[name]
+    is_limited = is_limited or runs == allowance
+    return PlacedTasks(runs, is_limited and job.has_placeable_task())
 
 
 def make_candidate(
@@ -352,6 +387,7 @@
         slowdown <= limit,
         is_likely_available(view, job, now_ms),
         is_cold=now_ms < view.cold_until_ms,
+        max_tasks=min(MAX_RUNS_PER_ORDER, view.orderable_runs()),
     )
 
 
@@ -400,7 +436,7 @@
         )
     if is_reported and state.is_remote(view):
         state.run_relay.note_change(now_ms, is_urgent=is_repeat)
-    view.reserve(order, step.need.times(len(tasks)))
+    view.reserve(order, step.need.times(len(tasks)), len(tasks))
     view.health.record_sent()
     view.last_order_sent_ms = now_ms
     timestamp_age_ms = now_ms - view.timestamp_received_ms
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -26,6 +26,8 @@
 from sardineferry.decision.burst.overload.left_capacity import TaskDurations
 from sardineferry.decision.burst.requests import ReplyKind
 from sardineferry.decision.burst.requests import SubmitJob
+from sardineferry.decision.burst.run_limits import MAX_RUNS
+from sardineferry.decision.burst.run_limits import MAX_STARTING_RUNS
 from sardineferry.decision.burst.run_relay import RunRelay
 from sardineferry.decision.burst.slowdown import WorkerSlowdowns
 from sardineferry.decision.burst.worker_choice import DEFAULT_REMOTE_FACTOR
@@ -39,6 +41,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Iterator
     from random import Random
 
     from returns.result import Result
@@ -79,6 +82,10 @@
 # An entry knows of no earlier submissions when it starts. For this long it takes all
 # jobs for copies, as those arrive seconds after an answer.
 UNINFORMED_MS = 4_000
+# Shared by all tasks, as an empty set takes more memory than the rest of a task.
+NO_AGENTS: frozenset[str] = frozenset()
+# The tasks that wait or run at an entry at most, unless it is told another limit.
+DEFAULT_TASK_LIMIT = 100_000
 # Bounds the memory for cancelled jobs that agents are told of when they link.
 MAX_CANCELLATIONS = 512
 # Bounds the memory for them, at about 300 bytes a job. An entry that ends more than a
@@ -152,6 +159,17 @@
         )
 
 
+class TaskCounts:
+    """How many of a job's tasks wait or are done; its tasks keep the numbers."""
+
+    __slots__ = ("done", "waiting")
+
+    def __init__(self, waiting: int) -> None:
+        """Create the numbers of a new job."""
+        self.waiting = waiting
+        self.done = 0
+
+
 class ActiveTask:
     """One task of an active job."""
 
@@ -159,6 +177,7 @@
         "agent",
         "attempt",
         "avoided_agents",
+        "counts",
         "earlier_runs",
         "end_proof",
         "failures",
@@ -167,9 +186,10 @@
         "status",
     )
 
-    def __init__(self, index: int, attempt: int) -> None:
+    def __init__(self, index: int, attempt: int, counts: TaskCounts) -> None:
         """Create a waiting task; attempt numbers up to ``attempt`` are used."""
         self.index = index
+        self.counts = counts
         self.status = load_chart("burst_task").initial
         self.attempt = attempt
         self.agent = ""
@@ -182,7 +202,7 @@
         # On what the latest run counts as ended, until the task is ordered again.
         self.end_proof: EndProof | None = None
         # Agents where a run failed, was lost or was rejected by the worker.
-        self.avoided_agents: set[str] = set()
+        self.avoided_agents = NO_AGENTS
 
     def advance(self, event: str) -> None:
         """Change the status by the state chart of burst tasks.
@@ -191,7 +211,14 @@
             ChartError: The event is not allowed in the current status.
 
         """
-        self.status = load_chart("burst_task").advance(self.status, event)
+        previous = self.status
+        self.status = load_chart("burst_task").advance(previous, event)
+        self.counts.waiting += (self.status == "waiting") - (previous == "waiting")
+        self.counts.done += self.status == "done"
+
+    def avoid(self, agent: str) -> None:
+        """Prefer other agents than this one for the next run."""
+        self.avoided_agents |= {agent}
 
 
 class ActiveJob:
@@ -223,8 +250,10 @@
         self.is_prioritised = is_prioritised
         # Jobs of other services are served as equally urgent.
         self.priority = route.priority if is_prioritised else 0
+        self.counts = TaskCounts(self.step.tasks)
         self.tasks = [
-            ActiveTask(index, earlier.attempt) for index in range(self.step.tasks)
+            ActiveTask(index, earlier.attempt, self.counts)
+            for index in range(self.step.tasks)
         ]
         # True once a run has ended that a worker started or may have started.
         self.had_run = False
@@ -246,22 +275,33 @@
     @property
     def started(self) -> bool:
         """Return whether any task has run, runs or may run because it was ordered."""
-        return self.had_run or any(task.status != "waiting" for task in self.tasks)
+        return self.had_run or self.counts.waiting < self.step.tasks
 
     @property
     def may_have_run(self) -> bool:
         """Return whether this or an earlier submission has run or may have."""
         return self.ran_before or self.started
 
-    def waiting_tasks(self) -> list[ActiveTask]:
-        """Return the tasks that are not placed."""
-        return [task for task in self.tasks if task.status == "waiting"]
-
-    def placeable_tasks(self) -> list[ActiveTask]:
-        """Return the tasks that are not placed and may be placed now."""
-        if self.is_held:
-            return []
-        return [task for task in self.waiting_tasks() if not task.earlier_runs]
+    @property
+    def is_done(self) -> bool:
+        """Return whether all tasks are done."""
+        return self.counts.done == self.step.tasks
+
+    def placeable_tasks(self) -> Iterator[ActiveTask]:
+        """Yield the tasks that are not placed and may be placed now."""
+        if self.is_held or not self.counts.waiting:
+            return
+        for task in self.tasks:
+            if task.status == "waiting" and not task.earlier_runs:
+                yield task
+
+    def has_placeable_task(self) -> bool:
+        """Return whether any task may be placed now."""
+        return any(True for _ in self.placeable_tasks())
+
+    def forget_tasks(self) -> None:
+        """Free the tasks of an ended job; those with runs are known by the runs."""
+        self.tasks = []
 
     def mark_done(self, indexes: Iterable[int]) -> None:
         """Mark waiting tasks as done that another entry has run."""
@@ -300,7 +340,7 @@
         if self.is_held:
             return 0.0
         step = self.step
-        return len(self.waiting_tasks()) * step.need.cpu * step.estimate_ms
+        return self.counts.waiting * step.need.cpu * step.estimate_ms
 
     def is_too_late_to_start(self, now_ms: int) -> bool:
         """Return whether the job has not started and can't end in time any more.
@@ -340,6 +380,13 @@
     return JobTimes(step.estimate_ms, route.slack_factor, route.goal_ms)
 
 
+class Reservation(NamedTuple):
+    """What an order takes of an agent until a report includes it."""
+
+    need: Resources
+    runs: int
+
+
 class PlacedRun:
     """A run that an agent was ordered to start."""
 
@@ -381,8 +428,9 @@
         self.reported_free = Resources()
         self.available = Resources()
         self.accepting = False
-        # Needs by order number, of orders that the last report does not include.
-        self.reservations: dict[int, Resources] = {}
+        # By order number, the needs and numbers of runs of orders that the last report
+        # does not include.
+        self.reservations: dict[int, Reservation] = {}
         # The latest timestamp of the agent's clock, and when it arrived on this
         # entry's clock.
         self.agent_timestamp_ms = 0
@@ -417,25 +465,30 @@
         previous = self.available
         self.reported_free = free
         self.reservations = {
-            order: need
-            for order, need in self.reservations.items()
+            order: reservation
+            for order, reservation in self.reservations.items()
             if order > last_order
         }
         self.available = free
-        for need in self.reservations.values():
-            self.available = self.available.minus(need)
+        for reservation in self.reservations.values():
+            self.available = self.available.minus(reservation.need)
         return not previous.covers(self.available)
 
-    def reserve(self, order: int, need: Resources) -> None:
+    def reserve(self, order: int, need: Resources, runs: int) -> None:
         """Reserve the need of an order until a report includes the order."""
-        self.reservations[order] = need
+        self.reservations[order] = Reservation(need, runs)
         self.available = self.available.minus(need)
 
+    def orderable_runs(self) -> int:
+        """Return how many more runs the agent can be ordered to start."""
+        unreported = sum(reservation.runs for reservation in self.reservations.values())
+        return max(0, min(MAX_STARTING_RUNS - unreported, MAX_RUNS - len(self.runs)))
+
     def cancel_reservation(self, order: int) -> None:
         """Remove the reservation of an order that was not sent."""
-        need = self.reservations.pop(order, None)
-        if need is not None:
-            self.available = self.available.plus(need)
+        reservation = self.reservations.pop(order, None)
+        if reservation is not None:
+            self.available = self.available.plus(reservation.need)
 
     def clear_reservations(self) -> None:
         """Remove all reservations, as the next report includes all orders."""
@@ -495,8 +548,12 @@
         decode_configuration: Callable[[bytes], Result[Configuration, str]],
         random: Random,
         remote_factor: float = DEFAULT_REMOTE_FACTOR,
+        task_limit: int = DEFAULT_TASK_LIMIT,
     ) -> None:
-        """Create the state without a configuration, agents or jobs."""
+        """Create the state without a configuration, agents or jobs.
+
+        ``task_limit`` bounds the tasks of all active jobs.
+        """
         self.name = name
         self.incarnation = incarnation
         self.data_centre = data_centre
@@ -515,6 +572,9 @@
         self.has_peers = False
         self.agents: dict[str, AgentView] = {}
         self.jobs: dict[str, ActiveJob] = {}
+        # The tasks of all active jobs, and their limit.
+        self.task_count = 0
+        self.task_limit = task_limit
         self.job_ids_by_token: dict[int, str] = {}
         # When callers that have a deadline stop waiting, by token.
         self.deadlines_by_token: dict[int, int] = {}
@@ -525,6 +585,8 @@
         # True if a waiting task may fit that was new or did not fit at the last
         # placement.
         self.placement_due = False
+        # True if the last placement stopped at a limit, and the next one goes on soon.
+        self.placement_unfinished = False
         self.other_runs = KnownOtherRuns()
         self.run_relay = RunRelay()
         self.evacuation = EvacuationRelay()
--- a/src/sardineferry/decision/burst/other_runs.py
+++ b/src/sardineferry/decision/burst/other_runs.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Set as AbstractSet
 
     from sardineferry.messages.burst import JobTasks
 
@@ -113,10 +114,10 @@
         while now_ms - next(iter(self.lost.values())) > ENDED_RETENTION_MS:
             self.lost.popitem(last=False)
 
-    def done_tasks(self, job_id: str) -> Iterable[int]:
+    def done_tasks(self, job_id: str) -> AbstractSet[int]:
         """Return the tasks of a job that are done."""
         known = self.done.get(job_id)
-        return known.tasks if known is not None else ()
+        return known.tasks if known is not None else frozenset()
 
     def forget_source(self, source: RunSource) -> list[str]:
         """Forget all runs that a source has told of; return the jobs that it named."""
--- a/src/sardineferry/decision/burst/placement.py
+++ b/src/sardineferry/decision/burst/placement.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from sardineferry.decision.burst.run_limits import MAX_RUNS_PER_ORDER
 from sardineferry.messages.burst import Resources
 
 if TYPE_CHECKING:
@@ -35,7 +36,7 @@
     ``avoided`` is true if a run of the task failed, was lost or was rejected there.
     ``likely_available`` is true if ``free`` is recent, or much more than a task
     needs, so that other entries have probably not used it up. ``is_cold`` is true soon
-    after the worker's start, while it is slow.
+    after the worker's start, while it is slow. At most ``max_tasks`` are placed there.
     """
 
     agent: str
@@ -46,6 +47,7 @@
     meets_goal: bool
     likely_available: bool = True
     is_cold: bool = False
+    max_tasks: int = MAX_RUNS_PER_ORDER
 
 
 def is_capacity_scarce(free_cpu: int, total_cpu: int) -> bool:
@@ -97,7 +99,8 @@
     for candidate in candidates:
         if remaining == 0:
             break
-        fits = count_fitting(candidate.free, need, remaining)
+        limit = min(remaining, candidate.max_tasks)
+        fits = count_fitting(candidate.free, need, limit)
         if spread_limit:
             fits = min(fits, spread_limit)
         if fits > 0:
--- a/src/sardineferry/deployment/entry.py
+++ b/src/sardineferry/deployment/entry.py
@@ -44,6 +44,9 @@
 # A waiting caller takes about 20 KB for its connection, request and job. 25 callers
 # use half of a megabyte; the other half stays free for bursts of requests.
 CALLERS_PER_MB = 25
+# Tasks for each permitted connection, in waiting and running jobs. A task takes about
+# 200 bytes, so that they fit into what a caller takes.
+TASKS_PER_CALLER = 32
 # File descriptors that are kept free for open files and links.
 RESERVED_DESCRIPTORS = 600
 # Bounds of the limit on callers' connections, whatever the size of the instance.
@@ -102,6 +105,7 @@
     """
     common = build_common_parts(settings, path)
     loop, mailbox = common.loop, common.mailbox
+    connections = max_caller_connections(settings.memory_mb, settings.descriptors)
     state = BurstEntryState(
         settings.name,
         new_incarnation(),
@@ -110,6 +114,7 @@
         decode_configuration,
         common.random,
         settings.remote_factor,
+        TASKS_PER_CALLER * connections,
     )
     endpoint = EntryEndpoint(
         settings.name, settings.links, settings.data_centre, state.incarnation
@@ -123,7 +128,6 @@
         common.random,
         operator_handler(mailbox),
     )
-    connections = max_caller_connections(settings.memory_mb, settings.descriptors)
     caller_limits = first_caller_limits(connections)
     budget_bytes = client_budget_bytes(
         settings.memory_mb, connections, caller_limits.body_bytes
