Bound the bytes that were received and not yet read

Callers saw: a process that is behind, or paused for a moment, ends because bytes that wait unread count as memory of its machine. 900 connections held 110 MB on any listener, 130 to 145 MB with the process on a machine of 100 MB.

Cause: the system gives a connection 128 KiB and more, also one that still waits to be accepted, and neither the budget nor the limit on connections counted that.

Change: listening sockets have a receive buffer of 8 KiB, which accepted connections inherit (at most 16 KiB unread by measurement of all sizes of pieces; the system doubles the size). A body of more than 8 KiB and a link that has named its sender get 64 KiB, as long as these buffers stay within an eighth of the memory that is left; a body without one takes longer, but is received. A connection gives its large buffer back once it reads again. What all buffers may hold is subtracted from the budget; queues of connections that wait to be accepted are bounded (callers 1,024 or their connections, links 512, checks and heartbeats 64, metrics 32). Callers' connections are 10 for each MB above 40 instead of 25: 1,600 on a machine of 200 MB, which no more than some hundreds use.

The clients of the tests no longer wait for a connection, as the queues are short; their number and what they send are unchanged.

--- a/bench/hostile_traffic.py
+++ b/bench/hostile_traffic.py
@@ -134,9 +134,9 @@
         self.socket.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, min(piece_bytes, 16_384)
         )
-        self.socket.settimeout(MAX_SEND_S)
-        self.socket.connect(split_address(address))
         self.socket.setblocking(False)
+        # Not waited for: a full queue of new connections delays it for seconds.
+        self.socket.connect_ex(split_address(address))
 
     def advance(self) -> bool:
         """Send a piece and discard answers; return false if nothing is left to do."""
--- a/src/sardineferry/client_budget.py
+++ b/src/sardineferry/client_budget.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-__all__ = ["CONNECTION_BYTES", "client_budget_bytes"]
+from typing import NamedTuple
+
+__all__ = ["CONNECTION_BYTES", "ClientBudget", "client_budget"]
 
 BYTES_PER_MB = 1024 * 1024
 # Share of the machine's memory that the process may use.
@@ -14,19 +16,38 @@
 # The budget is half of what is left: decoding a body takes a multiple of its size for
 # a moment, and freed memory is not returned to the system at once.
 BUDGET_SHARE = 0.5
+# What large receive buffers may hold unread is an eighth of what is left.
+LARGE_BUFFERS_SHARE = 0.125
 # Lower bounds, whatever the settings: a body of the largest size must be served.
 MIN_BUDGET_BYTES = 4 * BYTES_PER_MB
 MIN_LARGEST_BODIES = 2
+MIN_LARGE_BUFFERS_BYTES = 1 * BYTES_PER_MB
+
+
+class ClientBudget(NamedTuple):
+    """What clients' input may take: read and not finished, and not read yet.
+
+    The latter is without the small receive buffers, which every connection has.
+    """
+
+    held_bytes: int
+    large_buffers_bytes: int
+
 
+def client_budget(
+    memory_mb: int, connections: int, largest_body_bytes: int, unread_bytes: int = 0
+) -> ClientBudget:
+    """Return the budget of a process on a machine with this much memory.
 
-def client_budget_bytes(
-    memory_mb: int, connections: int, largest_body_bytes: int
-) -> int:
-    """Return the byte budget of a process on a machine with this much memory."""
+    ``unread_bytes`` is what the small receive buffers of all connections may hold.
+    """
     own_bytes = PROGRAM_MB * BYTES_PER_MB + connections * CONNECTION_BYTES
-    left_bytes = MEMORY_SHARE * memory_mb * BYTES_PER_MB - own_bytes
-    return max(
-        MIN_BUDGET_BYTES,
-        MIN_LARGEST_BODIES * largest_body_bytes,
-        int(BUDGET_SHARE * left_bytes),
+    left_bytes = MEMORY_SHARE * memory_mb * BYTES_PER_MB - own_bytes - unread_bytes
+    return ClientBudget(
+        max(
+            MIN_BUDGET_BYTES,
+            MIN_LARGEST_BODIES * largest_body_bytes,
+            int(BUDGET_SHARE * left_bytes),
+        ),
+        max(MIN_LARGE_BUFFERS_BYTES, int(LARGE_BUFFERS_SHARE * left_bytes)),
     )
--- a/src/sardineferry/deployment/agent.py
+++ b/src/sardineferry/deployment/agent.py
@@ -8,7 +8,7 @@
 from sardineferry.burst.agent import AgentParts
 from sardineferry.burst.agent import BurstAgentProcess
 from sardineferry.burst.evacuation_gauges import evacuation_gauges
-from sardineferry.client_budget import client_budget_bytes
+from sardineferry.client_budget import client_budget
 from sardineferry.clock import now_ms
 from sardineferry.decision.burst.agent import BurstAgentCore
 from sardineferry.decision.burst.agent import BurstAgentState
@@ -16,6 +16,7 @@
 from sardineferry.incarnation import new_incarnation
 from sardineferry.loop import ClientGuard
 from sardineferry.messages.burst import CODEC
+from sardineferry.metrics_server import METRICS_SERVER_LIMITS
 from sardineferry.metrics_server import MetricsServer
 from sardineferry.platform.heartbeats import HeartbeatApplication
 from sardineferry.platform.worker import WorkerClient
@@ -38,6 +39,7 @@
     header_timeout_s=3.0,
     request_timeout_s=60.0,
     connections=32,
+    backlog=64,
 )
 # A killed entry restarts within about 1 s, and agents must reconnect to it at once:
 # for the first 40 failures, the delay between attempts is at most 120 ms. An entry that
@@ -74,12 +76,18 @@
         int(time.time() * MS_PER_S),
         settings.grace_ms,
     )
-    budget_bytes = client_budget_bytes(
+    budget = client_budget(
         settings.memory_mb,
         HEARTBEAT_SERVER_LIMITS.connections,
         HEARTBEAT_SERVER_LIMITS.body_bytes,
+        HEARTBEAT_SERVER_LIMITS.unread_bytes() + METRICS_SERVER_LIMITS.unread_bytes(),
+    )
+    guard = ClientGuard(
+        loop,
+        budget.held_bytes,
+        state.counters,
+        large_buffers_bytes=budget.large_buffers_bytes,
     )
-    guard = ClientGuard(loop, budget_bytes, state.counters)
     parts = AgentParts(
         loop=loop,
         core=BurstAgentCore(state),
--- a/src/sardineferry/deployment/entry.py
+++ b/src/sardineferry/deployment/entry.py
@@ -8,7 +8,7 @@
 from sardineferry.burst.entry import EntryParts
 from sardineferry.burst.entry import readiness_handler
 from sardineferry.burst.evacuation_gauges import evacuation_gauges
-from sardineferry.client_budget import client_budget_bytes
+from sardineferry.client_budget import client_budget
 from sardineferry.clock import now_ms
 from sardineferry.decision.burst.configuration import EdgeLimits
 from sardineferry.decision.burst.entry import BurstEntryCore
@@ -16,9 +16,11 @@
 from sardineferry.decision.burst.overload.entry_backlog import read_backlog_gauges
 from sardineferry.deployment.common_parts import build_common_parts
 from sardineferry.incarnation import new_incarnation
+from sardineferry.loop import LISTEN_BACKLOG
 from sardineferry.loop import ClientGuard
 from sardineferry.messages.burst import CODEC
 from sardineferry.messages.burst import EntryEndpoint
+from sardineferry.metrics_server import METRICS_SERVER_LIMITS
 from sardineferry.metrics_server import MetricsServer
 from sardineferry.pending_requests import PendingRequests
 from sardineferry.platform.callers import CallerApplication
@@ -27,6 +29,7 @@
 from sardineferry.platform.topic_watch import TopicWatch
 from sardineferry.platform.topic_watch import entry_registration
 from sardineferry.platform.topic_watch import operator_handler
+from sardineferry.transport import UNREAD_LINK_BYTES
 from sardineferry.transport import LinkListener
 from sardineferry.web import HttpLimits
 from sardineferry.web import HttpServer
@@ -41,9 +44,10 @@
 
 # The program itself takes about 40 MB.
 PROGRAM_MEMORY_MB = 40
-# A waiting caller takes about 20 KB for its connection, request and job. 25 callers
-# use half of a megabyte; the other half stays free for bursts of requests.
-CALLERS_PER_MB = 25
+# A waiting caller takes about 36 KB: 20 for its connection, request and job, and what
+# its receive buffer may hold. 10 use a third of a megabyte; the rest is for callers
+# that wait to be accepted and for bursts of requests.
+CALLERS_PER_MB = 10
 # Tasks for each permitted connection, in waiting and running jobs. A task takes about
 # 200 bytes, so that they fit into what a caller takes.
 TASKS_PER_CALLER = 32
@@ -58,6 +62,7 @@
     header_timeout_s=3.0,
     request_timeout_s=15.0,
     connections=32,
+    backlog=64,
 )
 # The longest time for a whole request: several times the configuration's idle timeout,
 # so that a caller may use that more than once.
@@ -91,6 +96,7 @@
         idle_timeout_s=limits.idle_timeout_ms / MS_PER_S,
         request_timeout_s=REQUEST_TIMEOUT_S,
         connections=connections,
+        backlog=min(LISTEN_BACKLOG, connections),
     )
 
 
@@ -129,10 +135,21 @@
         operator_handler(mailbox),
     )
     caller_limits = first_caller_limits(connections)
-    budget_bytes = client_budget_bytes(
-        settings.memory_mb, connections, caller_limits.body_bytes
+    budget = client_budget(
+        settings.memory_mb,
+        connections,
+        caller_limits.body_bytes,
+        caller_limits.unread_bytes()
+        + READINESS_SERVER_LIMITS.unread_bytes()
+        + METRICS_SERVER_LIMITS.unread_bytes()
+        + UNREAD_LINK_BYTES,
+    )
+    guard = ClientGuard(
+        loop,
+        budget.held_bytes,
+        state.counters,
+        large_buffers_bytes=budget.large_buffers_bytes,
     )
-    guard = ClientGuard(loop, budget_bytes, state.counters)
     parts = EntryParts(
         loop=loop,
         core=BurstEntryCore(state),
--- a/src/sardineferry/entry/process.py
+++ b/src/sardineferry/entry/process.py
@@ -5,7 +5,7 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
-from sardineferry.client_budget import client_budget_bytes
+from sardineferry.client_budget import client_budget
 from sardineferry.core_loop import CoreLoop
 from sardineferry.decision import effects
 from sardineferry.decision.claims import CLAIM_STREAM
@@ -22,6 +22,7 @@
 from sardineferry.signals import SignalHandlers
 from sardineferry.state_dump import print_dump
 from sardineferry.statsd_reporter import StatsdReporter
+from sardineferry.transport import UNREAD_LINK_BYTES
 from sardineferry.transport import DialerPool
 from sardineferry.transport import LinkListener
 from sardineferry.web import HttpLimits
@@ -78,10 +79,20 @@
         )
         self.application.current_preset = self.current_preset
         connections = CONNECTIONS_PER_WAITING_CALLER * settings.http_threads
+        limits = HttpLimits(
+            body_bytes=MAX_BODY_BYTES, connections=connections, backlog=connections
+        )
+        budget = client_budget(
+            settings.memory_mb,
+            connections,
+            MAX_BODY_BYTES,
+            limits.unread_bytes() + UNREAD_LINK_BYTES,
+        )
         guard = ClientGuard(
             loop,
-            client_budget_bytes(settings.memory_mb, connections, MAX_BODY_BYTES),
+            budget.held_bytes,
             core.state.counters,
+            large_buffers_bytes=budget.large_buffers_bytes,
         )
         self.listener = LinkListener(
             loop, settings.listen, CODEC, mailbox, links, guard
@@ -90,7 +101,7 @@
             loop,
             settings.http,
             self.application.handle,
-            HttpLimits(body_bytes=MAX_BODY_BYTES, connections=connections),
+            limits,
             guard,
         )
         store = StoreClient(loop, settings.log)
--- a/src/sardineferry/loop/__init__.py
+++ b/src/sardineferry/loop/__init__.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from sardineferry.loop.acceptor import LISTEN_BACKLOG
 from sardineferry.loop.acceptor import Acceptor
 from sardineferry.loop.acceptor import AddressError
 from sardineferry.loop.address import split_address
@@ -18,8 +19,11 @@
 from sardineferry.loop.loop import IoLoop
 from sardineferry.loop.loop import PassHook
 from sardineferry.loop.loop import Timer
+from sardineferry.loop.receive_buffers import MAX_UNREAD_BYTES
 
 __all__ = [
+    "LISTEN_BACKLOG",
+    "MAX_UNREAD_BYTES",
     "Acceptor",
     "Account",
     "AddressError",
--- a/src/sardineferry/loop/acceptor.py
+++ b/src/sardineferry/loop/acceptor.py
@@ -2,19 +2,20 @@
 
 from __future__ import annotations
 
-import socket
 from typing import TYPE_CHECKING
 
 from sardineferry.logs import part_logger
 from sardineferry.loop.address import split_address
 from sardineferry.loop.loop import READ
+from sardineferry.loop.receive_buffers import open_listening_socket
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Callable
 
     from sardineferry.loop.loop import IoLoop
 
-__all__ = ["Acceptor", "AddressError"]
+__all__ = ["LISTEN_BACKLOG", "Acceptor", "AddressError"]
 
 # Large enough for all agents or callers to connect at the same time.
 LISTEN_BACKLOG = 1_024
@@ -35,10 +36,17 @@
     """Accepts TCP connections and passes their sockets to ``on_accept``."""
 
     def __init__(
-        self, loop: IoLoop, address: str, on_accept: Callable[[socket.socket], None]
+        self,
+        loop: IoLoop,
+        address: str,
+        on_accept: Callable[[socket.socket], None],
+        backlog: int = LISTEN_BACKLOG,
     ) -> None:
         """Bind ``host:port``; port 0 lets the system choose one.
 
+        At most ``backlog`` connections wait to be accepted; the system drops others,
+        which are opened again after seconds.
+
         Raises:
             AddressError: The address can't be bound.
 
@@ -47,9 +55,7 @@
         self.on_accept = on_accept
         self.watching = False
         try:
-            self.socket = socket.create_server(
-                split_address(address), backlog=LISTEN_BACKLOG
-            )
+            self.socket = open_listening_socket(split_address(address), backlog)
         except (OSError, ValueError) as error:
             raise AddressError(f"cannot listen on {address}: {error}") from error
         self.socket.setblocking(False)
--- a/src/sardineferry/loop/byte_budget.py
+++ b/src/sardineferry/loop/byte_budget.py
@@ -38,6 +38,7 @@
     """
 
     __slots__ = (
+        "has_large_buffer",
         "held_bytes",
         "holder",
         "is_identified",
@@ -50,6 +51,8 @@
         self.holder = holder
         self.held_bytes = 0
         self.is_identified = False
+        # Whether the connection's receive buffer was enlarged.
+        self.has_large_buffer = False
         self.unfinished_since_s: float | None = None
         # When the last byte was received or accepted by the other end.
         self.progress_s = now_s
--- a/src/sardineferry/loop/client_guard.py
+++ b/src/sardineferry/loop/client_guard.py
@@ -10,6 +10,7 @@
 from sardineferry.clock import now_s
 from sardineferry.logs import part_logger
 from sardineferry.loop.byte_budget import ByteBudget
+from sardineferry.loop.receive_buffers import LargeBuffers
 from sardineferry.loop.work_allowance import WorkAllowance
 
 if TYPE_CHECKING:
@@ -18,6 +19,7 @@
 
     from sardineferry.loop.byte_budget import Account
     from sardineferry.loop.byte_budget import Holder
+    from sardineferry.loop.connection import Connection
     from sardineferry.loop.loop import IoLoop
 
 __all__ = ["ClientGuard"]
@@ -39,12 +41,17 @@
         limit_bytes: int = sys.maxsize,
         counters: Counter[str] | None = None,
         pieces_per_pass: int = PIECES_PER_PASS,
+        large_buffers_bytes: int = sys.maxsize,
     ) -> None:
-        """Share these limits; refusals are counted in ``counters``, if given."""
+        """Share these limits; refusals are counted in ``counters``, if given.
+
+        ``large_buffers_bytes`` limits what large receive buffers may hold.
+        """
         self.loop = loop
         self.budget = ByteBudget(limit_bytes)
         self.counters: Counter[str] = Counter() if counters is None else counters
         self.allowance = WorkAllowance(pieces_per_pass)
+        self.large_buffers = LargeBuffers(large_buffers_bytes)
         # Called in turn, in later passes: connections with small pieces left.
         self.deferred: deque[Callable[[], object]] = deque()
         # Refusals since the last log line, by reason.
@@ -57,6 +64,25 @@
     def close_account(self, account: Account) -> None:
         """Remove the account of a closed connection."""
         self.budget.close(account)
+        if account.has_large_buffer:
+            account.has_large_buffer = False
+            self.large_buffers.give_back()
+
+    def enlarge_buffer(self, account: Account, connection: Connection) -> None:
+        """Give a connection a large receive buffer, if there is memory for one."""
+        if not account.has_large_buffer and self.large_buffers.take():
+            account.has_large_buffer = True
+            connection.set_receive_buffer(large=True)
+
+    def restore_buffer(self, account: Account, connection: Connection) -> None:
+        """Give a connection its small receive buffer again.
+
+        What has already been received stays, so its owner must be going to read it.
+        """
+        if account.has_large_buffer:
+            account.has_large_buffer = False
+            self.large_buffers.give_back()
+            connection.set_receive_buffer(large=False)
 
     def hold(self, account: Account, held_bytes: int, unfinished: bool) -> None:
         """Set what a connection holds after progress; evict if that is too much.
@@ -116,4 +142,5 @@
             "client_bytes_limit": self.budget.limit_bytes,
             "client_connections": len(self.budget.accounts),
             "clients_deferred": len(self.deferred),
+            "client_large_buffers": self.large_buffers.count,
         }
--- a/src/sardineferry/loop/connection.py
+++ b/src/sardineferry/loop/connection.py
@@ -9,6 +9,7 @@
 from sardineferry.logs import part_logger
 from sardineferry.loop.loop import READ
 from sardineferry.loop.loop import WRITE
+from sardineferry.loop.receive_buffers import set_buffer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -200,6 +201,13 @@
             self.paused = paused
             self.update_events()
 
+    def set_receive_buffer(self, *, large: bool) -> None:
+        """Set the size of the receive buffer, and with it the peer's window."""
+        try:
+            set_buffer(self.socket, large=large)
+        except OSError as error:
+            logger.debug("A receive buffer can't be set: %s.", error)
+
     def stop_reading(self) -> None:
         """Stop reading: the peer has closed its sending side."""
         self.reading = False
--- a/src/sardineferry/metrics_server.py
+++ b/src/sardineferry/metrics_server.py
@@ -23,16 +23,17 @@
     from sardineferry.web import Exchange
     from sardineferry.web import HttpRequest
 
-__all__ = ["METRICS_PORT", "MetricsServer"]
+__all__ = ["METRICS_PORT", "METRICS_SERVER_LIMITS", "MetricsServer"]
 
 # The port that the deploy file names.
 METRICS_PORT = 9464
-LIMITS = HttpLimits(
+METRICS_SERVER_LIMITS = HttpLimits(
     header_bytes=8_192,
     body_bytes=1_024,
     header_timeout_s=3.0,
     request_timeout_s=15.0,
     connections=16,
+    backlog=32,
 )
 HEADERS = (("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),)
 
@@ -71,7 +72,9 @@
         # Requests to be answered once the library is loaded.
         self.waiting_requests: list[Exchange] = []
         self.guard = ClientGuard(loop) if guard is None else guard
-        self.http = HttpServer(loop, f"{host}:{port}", self.handle, LIMITS, self.guard)
+        self.http = HttpServer(
+            loop, f"{host}:{port}", self.handle, METRICS_SERVER_LIMITS, self.guard
+        )
 
     def start(self) -> None:
         """Start accepting connections."""
--- a/src/sardineferry/transport/listener.py
+++ b/src/sardineferry/transport/listener.py
@@ -7,6 +7,7 @@
 from sardineferry.decision.common_events import LinkDown
 from sardineferry.decision.common_events import SendRejected
 from sardineferry.logs import part_logger
+from sardineferry.loop import MAX_UNREAD_BYTES
 from sardineferry.loop import Acceptor
 from sardineferry.loop import ClientGuard
 from sardineferry.messages.codec import CodecError
@@ -21,7 +22,7 @@
     from sardineferry.messages.codec import Codec
     from sardineferry.transport.registry import LinkRegistry
 
-__all__ = ["LinkListener"]
+__all__ = ["UNREAD_LINK_BYTES", "LinkListener"]
 
 # Time limit for the first message on a new link, which the other end sends as soon
 # as it is connected.
@@ -31,6 +32,10 @@
 MAX_UNNAMED_FRAME_BYTES = 256 * 1024
 # More than the agents of a deployment, which may all connect at the same time.
 MAX_UNNAMED_LINKS = 256
+# Links that wait to be accepted. All agents may connect at the same time.
+LINK_BACKLOG = 512
+# What the system may hold for links without a name and those that are not accepted.
+UNREAD_LINK_BYTES = (MAX_UNNAMED_LINKS + LINK_BACKLOG) * MAX_UNREAD_BYTES
 
 logger = part_logger("listener")
 
@@ -60,7 +65,7 @@
         self.guard = ClientGuard(loop) if guard is None else guard
         # Links without a name, in the order in which they were accepted.
         self.unnamed: dict[Link, None] = {}
-        self.acceptor = Acceptor(loop, address, self.on_accept)
+        self.acceptor = Acceptor(loop, address, self.on_accept, LINK_BACKLOG)
         self.port = self.acceptor.port
 
     def start(self) -> None:
@@ -114,6 +119,7 @@
             link.frame_reader.max_frame_bytes = MAX_FRAME_BYTES
             if link.account is not None:
                 link.account.is_identified = True
+                self.guard.enlarge_buffer(link.account, link.connection)
             self.links.add(link.name, link)
             logger.info("Link to %s opened.", link.name)
         if self.links.is_current(link.name, link):
--- a/src/sardineferry/web/server.py
+++ b/src/sardineferry/web/server.py
@@ -11,6 +11,8 @@
 
 from sardineferry.clock import now_s
 from sardineferry.logs import part_logger
+from sardineferry.loop import LISTEN_BACKLOG
+from sardineferry.loop import MAX_UNREAD_BYTES
 from sardineferry.loop import Acceptor
 from sardineferry.loop import ClientGuard
 from sardineferry.loop import Connection
@@ -42,6 +44,9 @@
 SHORT_SLICE_BYTES = 1_024
 # The work of a request that was sent along with an earlier one, in pieces.
 PIECES_PER_PIPELINED_REQUEST = 16
+# Bodies beyond this size are received with a large buffer: smaller ones fit into one
+# window of the small one.
+LARGE_BODY_BYTES = 8_192
 # A parsed header takes this much more memory than its text.
 HEADER_OVERHEAD_BYTES = 150
 # At the limit on connections, those that have stalled for this time make room.
@@ -64,7 +69,8 @@
     ``header_timeout_s`` limits the time from the first byte of a request to the
     end of its headers. ``idle_timeout_s`` limits the time between two pieces of
     a body, and between two requests on a connection. ``request_timeout_s`` limits
-    the time from the first byte of a request to its last one.
+    the time from the first byte of a request to its last one. ``backlog`` connections
+    may wait to be accepted.
     """
 
     header_bytes: int = 256 * 1024
@@ -73,6 +79,15 @@
     idle_timeout_s: float = 120.0
     request_timeout_s: float = 120.0
     connections: int = 1_000
+    backlog: int = LISTEN_BACKLOG
+
+    def unread_bytes(self) -> int:
+        """Return how much the system may hold for the connections, not read yet.
+
+        Large receive buffers have a limit of their own.
+        """
+        sockets = self.connections + MAX_REFUSED_CONNECTIONS + self.backlog
+        return sockets * MAX_UNREAD_BYTES
 
 
 class Exchange:
@@ -328,6 +343,8 @@
         )
         if not self.connection.holds_input:
             self.connection.set_paused(False)
+            if not self.in_body:
+                self.server.guard.restore_buffer(self.account, self.connection)
         self.update_account()
 
     def update_account(self) -> None:
@@ -417,6 +434,8 @@
             return
         # Extended in place: the pieces before are not copied.
         self.body += piece
+        if len(self.body) > LARGE_BODY_BYTES and not self.account.has_large_buffer:
+            self.server.guard.enlarge_buffer(self.account, self.connection)
 
     def on_message_complete(self) -> None:
         """Queue the request, and serve it if no other one is being served."""
@@ -620,7 +639,7 @@
         self.sweeping = False
         self.date_second = 0
         self.date_text = ""
-        self.acceptor = Acceptor(loop, address, self.on_accept)
+        self.acceptor = Acceptor(loop, address, self.on_accept, limits.backlog)
         self.port = self.acceptor.port
 
     def start(self) -> None:
--- a/tests/loop/test_byte_budget.py
+++ b/tests/loop/test_byte_budget.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from sardineferry.client_budget import client_budget_bytes
+from sardineferry.client_budget import client_budget
 from sardineferry.loop import ClientGuard
 from sardineferry.loop import IoLoop
 from sardineferry.loop.byte_budget import ByteBudget
@@ -133,4 +133,5 @@
 def test_budget_leaves_room_for_the_program_and_its_callers(
     memory_mb: int, connections: int, largest: int, budget_mb: int
 ) -> None:
-    assert client_budget_bytes(memory_mb, connections, largest) // MIB == budget_mb
+    budget = client_budget(memory_mb, connections, largest)
+    assert budget.held_bytes // MIB == budget_mb
