sardineferry-entry: bound the memory of open jobs with their payloads

Callers saw: 30 jobs of 7 MB that wait take 250 MB of an entry on a machine of 100 MB. Nobody had noticed, as each request leaves the byte budget when it has been parsed; its payloads stay until the job ends, and then for the two minutes for which its answer is kept.

Change: open jobs have a budget of a quarter of the memory that is left, at least two bodies of the largest size. A job may take a quarter of what is free, so small jobs find space beside large ones; a single one is always served. A job beyond it is refused before it is claimed: as "not run" if no earlier submission can have run elsewhere, else as unknown. Ended jobs keep no payloads.

--- a/src/sardineferry/client_budget.py
+++ b/src/sardineferry/client_budget.py
@@ -18,6 +18,8 @@
 BUDGET_SHARE = 0.5
 # What large receive buffers may hold unread is an eighth of what is left.
 LARGE_BUFFERS_SHARE = 0.125
+# What open jobs with their payloads may take, where these stay after the request.
+JOBS_SHARE = 0.25
 # Lower bounds, whatever the settings: a body of the largest size must be served.
 MIN_BUDGET_BYTES = 4 * BYTES_PER_MB
 MIN_LARGEST_BODIES = 2
@@ -25,13 +27,15 @@
 
 
 class ClientBudget(NamedTuple):
-    """What clients' input may take: read and not finished, and not read yet.
+    """What clients' input may take: unfinished, not read yet, and in open jobs.
 
-    The latter is without the small receive buffers, which every connection has.
+    What is not read yet is without the small receive buffers, which every connection
+    has.
     """
 
     held_bytes: int
     large_buffers_bytes: int
+    job_bytes: int
 
 
 def client_budget(
@@ -50,4 +54,5 @@
             int(BUDGET_SHARE * left_bytes),
         ),
         max(MIN_LARGE_BUFFERS_BYTES, int(LARGE_BUFFERS_SHARE * left_bytes)),
+        max(MIN_LARGEST_BODIES * largest_body_bytes, int(JOBS_SHARE * left_bytes)),
     )
--- a/src/sardineferry/decision/entry/admission.py
+++ b/src/sardineferry/decision/entry/admission.py
@@ -9,7 +9,9 @@
 from sardineferry.decision.entry.jobs import TrackedJob
 from sardineferry.decision.entry.jobs import Waiter
 from sardineferry.decision.entry.jobs import build_job_answer
+from sardineferry.decision.entry.jobs import estimate_bytes
 from sardineferry.decision.entry.jobs import fingerprint_of
+from sardineferry.decision.entry.jobs import fits_job_budget
 from sardineferry.decision.entry.outcomes import answer_waiter
 from sardineferry.decision.entry.outcomes import refuse_job
 from sardineferry.decision.entry.routing import dispatch
@@ -63,6 +65,10 @@
     if known is not None and can_attach(known):
         attach(state, known, waiter)
         return
+    job_bytes = estimate_bytes(spec)
+    if not fits_job_budget(job_bytes, state.job_bytes, state.policy.job_bytes_limit):
+        answer_waiter(state, waiter, build_memory_refusal(state, spec, known))
+        return
     job = TrackedJob(spec, fingerprint, now_ms)
     if known is not None:
         job.copy_attempt_numbers(known)
@@ -74,9 +80,33 @@
     state.jobs.pop(spec.submission, None)
     state.jobs[spec.submission] = job
     state.live_jobs[spec.submission] = job
+    state.job_bytes += job.bytes
     claim_or_admit(state, job, now_ms)
 
 
+def build_memory_refusal(
+    state: EntryState, spec: Job, known: TrackedJob | None
+) -> JobAnswer:
+    """Return the answer to a job for which there is no memory.
+
+    Only a claim would show whether an earlier submission has run at another entry.
+    """
+    state.counters["jobs_refused_memory"] += 1
+    is_fresh = not spec.resubmission or all(task.idempotent for task in spec.tasks)
+    is_not_run = is_fresh and (known is None or known.state == "not_run")
+    reason = (
+        f"no memory for the job: open jobs take {state.job_bytes} of "
+        f"{state.policy.job_bytes_limit} bytes"
+    )
+    return JobAnswer(
+        spec.submission,
+        "not_run" if is_not_run else "unknown",
+        reason,
+        state.policy.retry_after_ms,
+        (),
+    )
+
+
 def can_attach(known: TrackedJob) -> bool:
     """Return whether a repeated submission shares the known job's answer.
 
--- a/src/sardineferry/decision/entry/jobs.py
+++ b/src/sardineferry/decision/entry/jobs.py
@@ -20,15 +20,46 @@
     from sardineferry.messages.job import Task
 
 __all__ = [
+    "JOB_BYTES_SHARE",
     "ReportedRow",
     "TrackedJob",
     "TrackedTask",
     "Waiter",
     "build_job_answer",
+    "estimate_bytes",
     "fingerprint_of",
+    "fits_job_budget",
 ]
 
 
+# What an open task takes besides its payload.
+TASK_BYTES = 1_000
+MAX_CHARACTER_BYTES = 4
+JOB_BYTES_SHARE = 0.25
+
+
+def estimate_bytes(job: Job) -> int:
+    """Return about how much memory an open job takes.
+
+    Python stores text with other characters than those of ASCII in up to four bytes for
+    each.
+    """
+    return sum(
+        TASK_BYTES
+        + len(task.payload) * (1 if task.payload.isascii() else MAX_CHARACTER_BYTES)
+        for task in job.tasks
+    )
+
+
+def fits_job_budget(job_bytes: int, held_bytes: int, limit_bytes: int) -> bool:
+    """Return whether a job of this size may be opened beside those held.
+
+    It may take a share of what is free, so that small jobs find space beside any number
+    of large ones. A single job is always served.
+    """
+    return not held_bytes or job_bytes <= JOB_BYTES_SHARE * (limit_bytes - held_bytes)
+
+
 def fingerprint_of(job: Job) -> str:
     """Return a hash of a job's team and tasks.
 
@@ -134,12 +165,14 @@
     During a recovery, ``inquired_agents`` are the agents that may have started
     its tasks, ``reported_agents`` those of them that have reported, and
     ``reported_rows`` their rows by task id. ``owner_answer`` is the owner's
-    answer to a forwarded job. ``open_tasks`` counts the tasks without a final
+    answer to a forwarded job. ``bytes`` is about its size while it is open.
+    ``open_tasks`` counts the tasks without a final
     outcome. Times are on this entry's clock; a deadline of 0 is not set.
     """
 
     __slots__ = (
         "admitted",
+        "bytes",
         "cancelled",
         "claim_deadline_ms",
         "deadline_ms",
@@ -191,6 +224,7 @@
         self.reason = ""
         self.retry_after_ms = 0
         self.waiters: list[Waiter] = []
+        self.bytes = estimate_bytes(spec)
         self.tasks = {task.id: TrackedTask(task, self) for task in spec.tasks}
         self.open_tasks = len(self.tasks)
 
@@ -212,6 +246,13 @@
         for name, task in earlier.tasks.items():
             self.tasks[name].attempt_number = task.attempt_number
 
+    def release_payloads(self) -> None:
+        """Free the payloads of an ended job, which is kept for its answer."""
+        self.spec = self.spec._replace(tasks=())
+        for task in self.tasks.values():
+            if task.spec.payload:
+                task.spec = task.spec._replace(payload="")
+
     def is_final(self) -> bool:
         """Return whether the job has its final answer."""
         return self.state in load_chart("job").final
--- a/src/sardineferry/decision/entry/outcomes.py
+++ b/src/sardineferry/decision/entry/outcomes.py
@@ -41,12 +41,14 @@
     """Apply the final event to a job and answer all its waiters."""
     job.advance(event)
     job.finished_at_ms = now_ms
-    state.live_jobs.pop(job.spec.submission, None)
+    if state.live_jobs.pop(job.spec.submission, None) is not None:
+        state.job_bytes -= job.bytes
     state.counters[f"jobs_{job.state}"] += 1
     answer = build_job_answer(job)
     for waiter in job.waiters:
         answer_waiter(state, waiter, answer)
     job.waiters.clear()
+    job.release_payloads()
 
 
 def refuse_job(
--- a/src/sardineferry/decision/entry/policy.py
+++ b/src/sardineferry/decision/entry/policy.py
@@ -14,7 +14,8 @@
     entries; each counts as one, whatever its task's size.
     ``queue_limit`` is the number of waiting tasks that the teams share evenly.
     ``job_limit`` bounds the open jobs, and also the open and ended jobs that
-    are kept; ``attempt_limit`` bounds the attempts at a task.
+    are kept; ``attempt_limit`` bounds the attempts at a task. ``job_bytes_limit``
+    bounds the memory of the open jobs with their payloads.
 
     An agent is suspect after ``suspect_after_ms`` of silence and lost after
     ``lost_after_ms``, which is longer than the agent's lease (``AgentPolicy``)
@@ -41,6 +42,7 @@
     team_quotas: dict[str, int]
     queue_limit: int = 20_000
     job_limit: int = 20_000
+    job_bytes_limit: int = 256 * 1024 * 1024
     suspect_after_ms: int = 2_000
     lost_after_ms: int = 5_000
     claim_timeout_ms: int = 1_500
--- a/src/sardineferry/decision/entry/state.py
+++ b/src/sardineferry/decision/entry/state.py
@@ -236,6 +236,8 @@
         self.peers: dict[str, Peer] = {}
         self.jobs: dict[str, TrackedJob] = {}
         self.live_jobs: dict[str, TrackedJob] = {}
+        # About how much memory these take.
+        self.job_bytes = 0
         self.queue = FairQueue()
         self.delayed_tasks: list[TrackedTask] = []
         self.claims = ClaimTable(policy.claim_retention_ms)
--- a/src/sardineferry/entry/__init__.py
+++ b/src/sardineferry/entry/__init__.py
@@ -3,5 +3,6 @@
 from __future__ import annotations
 
 from sardineferry.entry.process import EntryProcess
+from sardineferry.entry.process import entry_client_budget
 
-__all__ = ["EntryProcess"]
+__all__ = ["EntryProcess", "entry_client_budget"]
--- a/src/sardineferry/entry/process.py
+++ b/src/sardineferry/entry/process.py
@@ -5,6 +5,7 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
+from sardineferry.client_budget import ClientBudget
 from sardineferry.client_budget import client_budget
 from sardineferry.core_loop import CoreLoop
 from sardineferry.decision import effects
@@ -37,7 +38,7 @@
     from sardineferry.settings import EntrySettings
     from sardineferry.transport import LinkRegistry
 
-__all__ = ["EntryProcess"]
+__all__ = ["EntryProcess", "entry_client_budget"]
 
 CONFIG_POLL_INTERVAL_MS = 500
 CLAIM_POLL_INTERVAL_MS = 1_000
@@ -51,6 +52,25 @@
 logger = part_logger("entry")
 
 
+def caller_limits(settings: EntrySettings) -> HttpLimits:
+    """Return the limits of the server for callers."""
+    connections = CONNECTIONS_PER_WAITING_CALLER * settings.http_threads
+    return HttpLimits(
+        body_bytes=MAX_BODY_BYTES, connections=connections, backlog=connections
+    )
+
+
+def entry_client_budget(settings: EntrySettings) -> ClientBudget:
+    """Return what clients' input and jobs may take of an entry's memory."""
+    limits = caller_limits(settings)
+    return client_budget(
+        settings.memory_mb,
+        limits.connections,
+        limits.body_bytes,
+        limits.unread_bytes() + UNREAD_LINK_BYTES,
+    )
+
+
 class EntryProcess:
     """Runs an entry."""
 
@@ -78,16 +98,7 @@
             loop, mailbox, settings.teams, self.dump, settings.http_threads
         )
         self.application.current_preset = self.current_preset
-        connections = CONNECTIONS_PER_WAITING_CALLER * settings.http_threads
-        limits = HttpLimits(
-            body_bytes=MAX_BODY_BYTES, connections=connections, backlog=connections
-        )
-        budget = client_budget(
-            settings.memory_mb,
-            connections,
-            MAX_BODY_BYTES,
-            limits.unread_bytes() + UNREAD_LINK_BYTES,
-        )
+        budget = entry_client_budget(settings)
         guard = ClientGuard(
             loop,
             budget.held_bytes,
@@ -101,7 +112,7 @@
             loop,
             settings.http,
             self.application.handle,
-            limits,
+            caller_limits(settings),
             guard,
         )
         store = StoreClient(loop, settings.log)
--- a/src/sardineferry/factory.py
+++ b/src/sardineferry/factory.py
@@ -13,6 +13,7 @@
 from sardineferry.decision.entry import EntryPolicy
 from sardineferry.decision.entry import EntryState
 from sardineferry.entry import EntryProcess
+from sardineferry.entry import entry_client_budget
 from sardineferry.incarnation import new_incarnation
 from sardineferry.logs import configure_logs
 from sardineferry.loop import IoLoop
@@ -36,6 +37,7 @@
         full_ms=settings.full_ms,
         load_half_life_ms=settings.load_half_life_ms,
         republish_ms=settings.republish_ms,
+        job_bytes_limit=entry_client_budget(settings).job_bytes,
     )
     random_source = random.Random()
     state = EntryState(
