HTTP server: parse large bodies in turn

An allowance of work for each pass bounded very small pieces only. With 600 large bodies at once a pass parsed up to 64 KiB of each before it did anything else. Requests of up to 16 KiB are parsed as before.

Evidence: test_large_bodies_are_parsed_in_turn_with_other_requests.

--- a/src/sardineferry/web/server.py
+++ b/src/sardineferry/web/server.py
@@ -47,6 +47,9 @@
 # Bodies beyond this size are received with a large buffer: smaller ones fit into one
 # window of the small one.
 LARGE_BODY_BYTES = 8_192
+# The work of a full slice, in pieces. It is not charged for the beginning of a body.
+PIECES_PER_BULK_SLICE = 3
+FREE_BODY_BYTES = 16_384
 # A parsed header takes this much more memory than its text.
 HEADER_OVERHEAD_BYTES = 150
 # At the limit on connections, those that have stalled for this time make room.
@@ -157,6 +160,7 @@
         "headers",
         "in_body",
         "in_header",
+        "is_bulk",
         "is_costly",
         "is_deferred",
         "parser",
@@ -203,6 +207,8 @@
         self.is_deferred = False
         # Whether the last slice had very small pieces or several requests.
         self.is_costly = False
+        # Whether the last slice belonged to a large body.
+        self.is_bulk = False
         self.begin_request()
         self.connection = Connection(server.loop, connected_socket, self)
         self.connection.on_flushed = self.handle_flushed
@@ -240,7 +246,7 @@
         """
         guard = self.server.guard
         while self.unparsed and self.may_parse():
-            if self.is_costly and guard.allowance.is_spent():
+            if (self.is_costly or self.is_bulk) and guard.allowance.is_spent():
                 self.defer()
                 break
             self.parse_slice()
@@ -296,6 +302,9 @@
             self.stray_bytes += len(part)
             if self.stray_bytes > limit + SLICE_BYTES:
                 self.refuse_headers()
+        self.is_bulk = self.in_body and len(self.body) > FREE_BODY_BYTES
+        if self.is_bulk:
+            self.server.guard.allowance.charge(PIECES_PER_BULK_SLICE)
         self.charge(pieces_before)
 
     def charge(self, pieces_before: int) -> None:
--- a/tests/web/test_server.py
+++ b/tests/web/test_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import re
 import socket
 import threading
@@ -22,6 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+MIB = 1024 * 1024
 LIMITS = HttpLimits(
     header_bytes=400,
     body_bytes=1_000,
@@ -122,6 +124,33 @@
     assert not client.closed
 
 
+def test_large_bodies_are_parsed_in_turn_with_other_requests() -> None:
+    """Guards against a loop that handles nothing else while large bodies arrive."""
+    running = RunningServer()
+    running.server.limits = LIMITS._replace(body_bytes=MIB)
+    guard = running.server.guard
+    guard.allowance.pieces_per_pass = guard.allowance.left = 10
+    head = f"POST /large HTTP/1.1\r\nHost: x\r\nContent-Length: {MIB}\r\n\r\n".encode()
+    large = running.connect()
+    large.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * MIB)
+    pending = memoryview(head + b"x" * MIB)
+    deferred = 0
+    other = running.connect()
+    other.send(get("/now"))
+
+    def advance() -> bool:
+        nonlocal pending, deferred
+        with contextlib.suppress(BlockingIOError):
+            pending = pending[large.socket.send(pending) :]
+        deferred = max(deferred, len(guard.deferred))
+        return len(running.handler.requests) == 2
+
+    run_until(running.loop, advance)
+    assert [request.path for request in running.handler.requests] == ["/now", "/large"]
+    assert len(running.handler.requests[1].body) == MIB
+    assert deferred == 1
+
+
 def test_pipelined_requests_are_answered_in_order(running: RunningServer) -> None:
     client = running.connect()
     client.send(get("/wait") + get("/now") + get("/other"))
