Agent: bound what is kept of reported workers

A writer that is not the worker can send heartbeats with ever new ids, of up to 16 KB each. The agent kept every one: those that it had asked the worker about, and those whose reports it had ignored. Both now hold the latest 256, and ids have 1,024 characters at most.

--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -255,7 +255,7 @@
         # When incarnations were reported that were not at the worker, by id and start.
         self.rejected_candidates: dict[tuple[str, int], int] = {}
         # Ids and start times of incarnations whose ignored reports were logged once.
-        self.ignored_reports: set[tuple[str, int]] = set()
+        self.ignored_reports: dict[tuple[str, int], None] = {}
         # Start times of worker incarnations that, according to entries, drain.
         self.draining_incarnations: set[int] = set()
         # Resources and labels of the machine, kept when its worker restarts.
--- a/src/sardineferry/decision/burst/agent_worker.py
+++ b/src/sardineferry/decision/burst/agent_worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 from sardineferry.decision.burst import agent_runs
 from sardineferry.decision.burst import timing
@@ -47,6 +48,10 @@
 # Reports of an incarnation that was not at the worker are ignored for this long, less
 # than the time between two reports: it may have taken the worker's place since.
 ASK_AGAIN_MS = 1_000
+# A worker restarts every few seconds at most, so that none of interest is forgotten.
+MAX_REPORTED_INCARNATIONS = 256
+
+T = TypeVar("T")
 
 
 @handle_agent_event.register(WorkerReported)
@@ -88,6 +93,12 @@
         state.candidate = event
 
 
+def forget_oldest(incarnations: dict[tuple[str, int], T]) -> None:
+    """Bound what is kept of reported incarnations, which anybody can invent."""
+    while len(incarnations) > MAX_REPORTED_INCARNATIONS:
+        del incarnations[next(iter(incarnations))]
+
+
 def is_rejected(state: BurstAgentState, event: WorkerReported, now_ms: int) -> bool:
     """Return whether an incarnation is known to be past, or was not there just now."""
     incarnation = (event.worker_id, event.born_ms)
@@ -143,7 +154,8 @@
     incarnation = (event.worker_id, event.born_ms)
     if incarnation in state.ignored_reports:
         return
-    state.ignored_reports.add(incarnation)
+    state.ignored_reports[incarnation] = None
+    forget_oldest(state.ignored_reports)
     fields: dict[str, object] = {
         "worker": event.worker_id,
         "born_ms": event.born_ms,
@@ -469,7 +481,9 @@
 ) -> None:
     """Ignore a reported incarnation for a while, as the worker is another one."""
     incarnation = (candidate.worker_id, candidate.born_ms)
+    state.rejected_candidates.pop(incarnation, None)
     state.rejected_candidates[incarnation] = now_ms
+    forget_oldest(state.rejected_candidates)
     state.capacity_changed = True
     if state.candidate is not None and is_same_incarnation(state.candidate, candidate):
         state.candidate = None
--- a/src/sardineferry/platform/heartbeats.py
+++ b/src/sardineferry/platform/heartbeats.py
@@ -33,6 +33,8 @@
 MAX_HEARTBEAT_BYTES = 4 * 1024 * 1024
 # Labels name a worker's kind and rack; all entries are sent them.
 MAX_LABELS_BYTES = 16_384
+# The ids of workers that were reported are kept for a while.
+MAX_ID_CHARACTERS = 1_024
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 logger = part_logger("reports")
@@ -111,7 +113,7 @@
         worker_id = request.path.removeprefix(PATH_PREFIX)
         if (
             not request.path.startswith(PATH_PREFIX)
-            or not worker_id
+            or not 0 < len(worker_id) <= MAX_ID_CHARACTERS
             or "/" in worker_id
         ):
             return 404
