Agent: stop many runs without flooding a slow worker

Cause, from a dump of three agents' states: 60 to 120 runs each were being stopped, with up to 400 unanswered requests a run. All were sent again every 20 ms; on six connections each timed out after 40 ms before it was sent or accepted, and the connection was closed and opened again. An agent with runs that it can't stop accepts no orders, so this never ended.

Change: at most 32 stop requests are in flight, those that have waited for longest first; stops of unknown runs likewise. After 16 attempts, when every lease has ended, the delay doubles up to 640 ms.

The soak has crowds of clients that misbehave at entries and agents (whole and incomplete requests, chunks, wide jobs, numbers out of range, long names, resets in series) beside signals, pauses and resets, and checks the memory of all processes.

--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -19,6 +19,9 @@
 from bench.fleet import call_json
 from bench.fleet import find_free_ports
 from bench.proxy import FaultyProxy
+from bench.soak_crowds import Crowd
+from bench.soak_crowds import make_heartbeat
+from bench.soak_crowds import make_submission
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -109,6 +112,16 @@
     # Beyond the protocol: a worker's successor reports while its runs go on.
     "successors": ("replace_worker", "delay_heartbeats", "delay_answers"),
     "starved": STARVED,
+    # Clients that are not under the system's control, beside other faults.
+    "crowds": (
+        "crowd_entry",
+        "crowd_entry",
+        "crowd_agent",
+        "signal_in_series",
+        "pause_briefly",
+        "reset_machine",
+        "crash_worker",
+    ),
     "combined": (*INCARNATIONS, *STARVED, "replace_answers", "disturb_connections"),
 }
 
@@ -378,6 +391,33 @@
             delay_s += self.random.uniform(*TIME_BETWEEN_PAUSES_S)
         self.schedule_end(delay_s, name, partial(self.fleet.kill, name, signal.SIGCONT))
 
+    def crowd_entry(self, duration_s: float) -> None:
+        """Let clients that misbehave connect to an entry; other faults may overlap."""
+        index = self.random.randrange(len(self.fleet.entry_ips))
+        address = f"{self.fleet.entry_ips[index]}:{self.fleet.front_port}"
+        self.start_crowd(
+            f"crowd at entry-{index}", address, make_submission, duration_s
+        )
+
+    def crowd_agent(self, duration_s: float) -> None:
+        """Let clients that misbehave send an agent heartbeats."""
+        index = self.random.randrange(len(self.fleet.agent_ips))
+        address = f"{self.fleet.agent_ips[index]}:{self.fleet.control_port}"
+        self.start_crowd(f"crowd at agent-{index}", address, make_heartbeat, duration_s)
+
+    def start_crowd(
+        self,
+        target: str,
+        address: str,
+        make_request: Callable[[random.Random], bytes],
+        duration_s: float,
+    ) -> None:
+        """Let a crowd connect for a time, unless one does already."""
+        if self.reserve_target("crowd", target):
+            crowd = Crowd(address, f"{self.random.random()}", make_request)
+            crowd.start()
+            self.schedule_end(duration_s, target, crowd.stopped.set)
+
     def starve_program(self, _duration_s: float) -> None:
         """Let a program run only for moments, as on an overloaded machine."""
         name = self.choose_program()
--- a/src/sardineferry/decision/burst/agent_runs.py
+++ b/src/sardineferry/decision/burst/agent_runs.py
@@ -39,6 +39,7 @@
     from sardineferry.messages.burst import RunRef
 
 __all__ = [
+    "MAX_STOPS_IN_FLIGHT",
     "begin_stop",
     "drop_waiting_orders",
     "end_all_runs_as_lost",
@@ -58,6 +59,11 @@
 # Delay before a stop request that the worker did not answer or refused because of
 # its fencing token is sent again.
 STOP_RETRY_DELAY_MS = 20
+# From this number of failures on the delay doubles, up to 640 ms.
+PROMPT_STOP_RETRIES = 16
+MAX_STOP_DOUBLINGS = 5
+# The worker answers so many within the time limit of a request, on all connections.
+MAX_STOPS_IN_FLIGHT = 32
 # Answers that don't show that the known incarnation of the worker is alive.
 NOT_FROM_KNOWN_WORKER = (StartAnswer.UNANSWERED, StartAnswer.OTHER_INCARNATION)
 # Added to a fencing token that the worker refused. Tokens derive from Unix time
@@ -361,7 +367,11 @@
         "reason": reason,
     }
     state.effects.append(LogDecision("run stopping", fields))
-    send_stop(state, run)
+    if count_stops_in_flight(state) <= MAX_STOPS_IN_FLIGHT:
+        send_stop(state, run)
+    else:
+        # Sent once other stops have been answered.
+        run.stop_due_ms = 0
 
 
 def stop_unpermitted_runs(state: BurstAgentState, now_ms: int) -> None:
@@ -425,16 +435,45 @@
         run.advance("confirm")
     else:
         run.stop_failures += 1
-        run.stop_due_ms = now_ms + STOP_RETRY_DELAY_MS
+        run.stop_due_ms = now_ms + stop_retry_delay_ms(run.stop_failures)
         state.capacity_changed = True
 
 
+def stop_retry_delay_ms(failures: int) -> int:
+    """Return the delay before a stop request is sent again.
+
+    A lease has ended after the prompt attempts. More of them would keep a slow worker
+    busy with connections that time out.
+    """
+    doublings = min(max(0, failures - PROMPT_STOP_RETRIES), MAX_STOP_DOUBLINGS)
+    return STOP_RETRY_DELAY_MS << doublings
+
+
 def resend_due_stops(state: BurstAgentState, now_ms: int) -> None:
-    """Send stop requests again whose retry delay is over."""
-    for run in state.runs.values():
-        if run.stop_due_ms is not None and now_ms >= run.stop_due_ms:
-            run.stop_due_ms = None
-            send_stop(state, run)
+    """Send stop requests that are due, as far as the worker can answer them in time.
+
+    Those that have not been sent for longest come first: if all were sent at once,
+    each would time out while it waits for a connection, and none would be answered.
+    """
+    due = [
+        run
+        for run in state.runs.values()
+        if run.stop_due_ms is not None and now_ms >= run.stop_due_ms
+    ]
+    if not due:
+        return
+    due.sort(key=lambda run: run.stop_due_ms or 0)
+    for run in due[: max(0, MAX_STOPS_IN_FLIGHT - count_stops_in_flight(state))]:
+        run.stop_due_ms = None
+        send_stop(state, run)
+
+
+def count_stops_in_flight(state: BurstAgentState) -> int:
+    """Return how many stop requests wait for an answer."""
+    return sum(
+        run.status == "stopping" and run.stop_due_ms is None
+        for run in state.runs.values()
+    )
 
 
 def end_run(
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -339,14 +339,14 @@
 
     def startable_runs(self) -> int:
         """Return how many more runs may be started now, whatever they need."""
-        if len(self.runs) < MAX_STARTING_RUNS:
-            return MAX_STARTING_RUNS - len(self.runs)
         starting = sum(run.status == "starting" for run in self.runs.values())
         return max(0, min(MAX_STARTING_RUNS - starting, MAX_RUNS - len(self.runs)))
 
     def offered(self) -> Resources:
         """Return the resources that entries may use: none while no run may start."""
-        return self.free() if self.startable_runs() else Resources()
+        # Fewer runs can't all be starting, which saves counting them.
+        may_start = len(self.runs) < MAX_STARTING_RUNS or self.startable_runs()
+        return self.free() if may_start else Resources()
 
     def accepting(self) -> bool:
         """Return whether runs may be started."""
--- a/src/sardineferry/decision/burst/agent_worker.py
+++ b/src/sardineferry/decision/burst/agent_worker.py
@@ -586,6 +586,8 @@
         if ref not in state.unknown_runs:
             fields: dict[str, object] = {"task": ref.task, "attempt": ref.attempt}
             state.effects.append(LogDecision("stopping an unknown run", fields))
+    # The others follow as these end.
+    for ref in sorted(unknown_runs)[: agent_runs.MAX_STOPS_IN_FLIGHT]:
         state.effects.append(StopRun(ref, state.fencing_token, ""))
     changed = unknown_runs != state.unknown_runs or not state.reconciled
     state.unknown_runs = unknown_runs
--- a/src/sardineferry/decision/burst/run_limits.py
+++ b/src/sardineferry/decision/burst/run_limits.py
@@ -29,9 +29,9 @@
     "least_run_ms",
 ]
 
-# Runs at an agent that its worker has not confirmed yet. A start takes an agent about
-# 0.2 ms on a whole core, and it must not be silent for SILENCE_LIMIT_MS.
-MAX_STARTING_RUNS = 128
+# Runs at an agent that its worker has not confirmed yet: a worker has to answer all of
+# them within the time limit of a request, and the agent must not be silent meanwhile.
+MAX_STARTING_RUNS = 64
 # Runs at an agent. It goes through all of them several times a second.
 MAX_RUNS = 1_024
 # Runs of one order. Half of the above leaves room for the jobs behind a wide one.
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -88,6 +88,8 @@
             SoakPlan(1, seconds=4.0, faults="starved", long_tasks=0.3, impatience=0.2),
             id="starved",
         ),
+        # Clients that misbehave, beside restarts and pauses of entries and agents.
+        pytest.param(SoakPlan(1, seconds=4.0, faults="crowds"), id="crowds"),
         # Half of the answers are lost, and a copy of each answered request comes
         # seconds later: an entry ran jobs again that ran at the other one.
         pytest.param(
