--- a/src/sardineferry/decision/burst/agent_runs.py
+++ b/src/sardineferry/decision/burst/agent_runs.py
@@ -15,6 +15,7 @@
 from sardineferry.decision.burst.effects import ObserveLatency
 from sardineferry.decision.burst.evacuation import EVACUATED
 from sardineferry.decision.burst.run_limits import MAX_STARTING_RUNS
+from sardineferry.decision.burst.run_limits import MIN_OFFERED_RUNS
 from sardineferry.decision.burst.stalls import is_stalled
 from sardineferry.decision.burst.worker import StartAnswer
 from sardineferry.decision.burst.worker import StartAnswered
@@ -256,7 +257,7 @@
             run.started_ms = run.started_ms or event.sent_ms
             run.confirmed_ms = now_ms
             run.advance("start")
-            if len(state.runs) >= MAX_STARTING_RUNS:
+            if len(state.runs) > MAX_STARTING_RUNS - MIN_OFFERED_RUNS:
                 # The offered capacity may have been held back for this start.
                 state.capacity_changed = True
         case StartAnswer.UNANSWERED:
--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -16,6 +16,7 @@
 from sardineferry.decision.burst.overload.agent_backlog import StatedBacklogs
 from sardineferry.decision.burst.run_limits import MAX_RUNS
 from sardineferry.decision.burst.run_limits import MAX_STARTING_RUNS
+from sardineferry.decision.burst.run_limits import MIN_OFFERED_RUNS
 from sardineferry.decision.burst.slowdown import SlowdownEstimator
 from sardineferry.messages.burst import Resources
 from sardineferry.messages.burst import RunEnded
@@ -343,9 +344,12 @@
         return max(0, min(MAX_STARTING_RUNS - starting, MAX_RUNS - len(self.runs)))
 
     def offered(self) -> Resources:
-        """Return the resources that entries may use: none while no run may start."""
+        """Return the resources that entries may use: none while few runs may start."""
         # Fewer runs can't all be starting, which saves counting them.
-        may_start = len(self.runs) < MAX_STARTING_RUNS or self.startable_runs()
+        may_start = (
+            len(self.runs) <= MAX_STARTING_RUNS - MIN_OFFERED_RUNS
+            or self.startable_runs() >= MIN_OFFERED_RUNS
+        )
         return self.free() if may_start else Resources()
 
     def accepting(self) -> bool:
--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -150,8 +150,13 @@
     with_capacity = {
         view.name for view in eligible.views if view.available.cpu >= max(1, min_cpu)
     }
+    # A job that is limited by the number of runs comes last: an agent starts its tasks
+    # one after the other, and those of other jobs would have to wait for them.
     state.queue.sort(
-        key=lambda job: service_order(job.started, job.priority, job.latest_start_ms)
+        key=lambda job: (
+            job.is_run_limited,
+            service_order(job.started, job.priority, job.latest_start_ms),
+        )
     )
     withheld_agents = WithheldAgents()
     cpu_ahead = 0
@@ -182,6 +187,7 @@
                 state, job, preferred, limit, withheld_agents, allowance, now_ms
             )
         allowance -= placed.runs
+        job.is_run_limited = placed.reached_limit
         cpu_ahead += job.step.need.cpu * job.counts.waiting
         if placed.reached_limit:
             # There is capacity left, which later jobs may use.
--- a/src/sardineferry/decision/burst/entry_state.py
+++ b/src/sardineferry/decision/burst/entry_state.py
@@ -264,6 +264,8 @@
         # True while another entry runs tasks of the job, and until that time after.
         self.is_held = False
         self.release_due_ms: int | None = None
+        # True if a limit on runs, not the workers' capacity, keeps its tasks waiting.
+        self.is_run_limited = False
         # True if its runs were stopped meanwhile, in favour of the other entry's.
         self.has_yielded = False
 
--- a/src/sardineferry/decision/burst/run_limits.py
+++ b/src/sardineferry/decision/burst/run_limits.py
@@ -23,6 +23,7 @@
     "MAX_RUNS_PER_PASS",
     "MAX_STARTING_RUNS",
     "MAX_TASKS_PER_JOB",
+    "MIN_OFFERED_RUNS",
     "MIN_WIDE_TASKS",
     "count_slots",
     "fits_task_budget",
@@ -32,6 +33,9 @@
 # Runs at an agent that its worker has not confirmed yet: a worker has to answer all of
 # them within the time limit of a request, and the agent must not be silent meanwhile.
 MAX_STARTING_RUNS = 64
+# An agent offers capacity while so many more may start: fewer would be used up by the
+# first order of several that arrive.
+MIN_OFFERED_RUNS = 8
 # Runs at an agent. It goes through all of them several times a second.
 MAX_RUNS = 1_024
 # Runs of one order. Half of the above leaves room for the jobs behind a wide one.
