Limit segments on accepted connections, and count large buffers in full

Callers would have seen (found by measuring a body of the largest size on loopback, after the receive buffers became small): 3.4 s for 256 KiB instead of 1.3 ms. A segment of a loopback interface has 64 KiB, more than the small buffer, so the system announces no window until the buffer is empty and the sender probes after 200 ms.

Accepted connections now ask for segments of 1,460 bytes, as on an Ethernet: 1.5 ms. With these a buffer of 64 KiB held up to 118 KB unread, so large buffers are 32 KiB (56 KB measured) and are counted with 64 KiB each.

--- a/src/sardineferry/loop/receive_buffers.py
+++ b/src/sardineferry/loop/receive_buffers.py
@@ -10,9 +10,13 @@
 
 import socket
 
+from sardineferry.logs import part_logger
+
 __all__ = [
     "LARGE_BUFFER_BYTES",
+    "MAX_SEGMENT_BYTES",
     "MAX_UNREAD_BYTES",
+    "MAX_UNREAD_LARGE_BYTES",
     "LargeBuffers",
     "open_listening_socket",
     "set_buffer",
@@ -21,16 +25,17 @@
 # Sizes to be set. The system doubles them for its own overhead, and bytes received may
 # take all of that.
 SMALL_BUFFER_BYTES = 8_192
-LARGE_BUFFER_BYTES = 65_536
 MAX_UNREAD_BYTES = 2 * SMALL_BUFFER_BYTES
+LARGE_BUFFER_BYTES = 32_768
+MAX_UNREAD_LARGE_BYTES = 2 * LARGE_BUFFER_BYTES
+# The size of segments on an Ethernet.
+MAX_SEGMENT_BYTES = 1_460
 
+logger = part_logger("listener")
 
-class LargeBuffers:
-    """How many large buffers are in use, and how much memory they may take.
 
-    The windows of connections with a small buffer have no scale, so that a large one
-    holds at most ``LARGE_BUFFER_BYTES``.
-    """
+class LargeBuffers:
+    """How many large buffers are in use, and how much memory they may take."""
 
     def __init__(self, limit_bytes: int) -> None:
         """Start without large buffers."""
@@ -39,7 +44,7 @@
 
     def take(self) -> bool:
         """Count one more, unless that would exceed the limit; return whether it may."""
-        if (self.count + 1) * LARGE_BUFFER_BYTES > self.limit_bytes:
+        if (self.count + 1) * MAX_UNREAD_LARGE_BYTES > self.limit_bytes:
             return False
         self.count += 1
         return True
@@ -61,6 +66,7 @@
         listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         # Only sizes that are set before listening apply to the first window.
         set_buffer(listening_socket, large=False)
+        limit_segments(listening_socket)
         listening_socket.bind(address)
         listening_socket.listen(backlog)
     except OSError:
@@ -69,6 +75,21 @@
     return listening_socket
 
 
+def limit_segments(listening_socket: socket.socket) -> None:
+    """Let the other ends of accepted connections send small segments.
+
+    A segment of a loopback interface is larger than the small buffer. The system then
+    announces no window until the buffer is empty, and the sender waits for 200 ms.
+    """
+    try:
+        listening_socket.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_MAXSEG, MAX_SEGMENT_BYTES
+        )
+    except OSError as error:
+        # Not all systems support it, and on most networks segments are small anyway.
+        logger.debug("The size of segments can't be limited: %s.", error)
+
+
 def set_buffer(connected_socket: socket.socket, *, large: bool) -> None:
     """Set the size of a socket's receive buffer.
 
--- a/tests/loop/test_receive_buffers.py
+++ b/tests/loop/test_receive_buffers.py
@@ -15,7 +15,8 @@
 from sardineferry.loop import MAX_UNREAD_BYTES
 from sardineferry.loop import ClientGuard
 from sardineferry.loop import IoLoop
-from sardineferry.loop.receive_buffers import LARGE_BUFFER_BYTES
+from sardineferry.loop.receive_buffers import MAX_SEGMENT_BYTES
+from sardineferry.loop.receive_buffers import MAX_UNREAD_LARGE_BYTES
 from sardineferry.loop.receive_buffers import LargeBuffers
 from sardineferry.loop.receive_buffers import open_listening_socket
 from sardineferry.transport import UNREAD_LINK_BYTES
@@ -60,9 +61,22 @@
             assert len(connected.recv(MIB, socket.MSG_PEEK)) <= MAX_UNREAD_BYTES
 
 
+def test_segments_are_smaller_than_the_small_buffer() -> None:
+    """Guards against senders that wait for a window on a loopback interface.
+
+    A body of 256 KiB took 3.4 s.
+    """
+    with (
+        open_listening_socket(("127.0.0.1", 0), 4) as listener,
+        socket.create_connection(listener.getsockname()) as client,
+    ):
+        size = client.getsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG)
+        assert size <= MAX_SEGMENT_BYTES
+
+
 @pytest.mark.parametrize(
     ("limit_bytes", "granted"),
-    [(0, 0), (LARGE_BUFFER_BYTES - 1, 0), (2 * LARGE_BUFFER_BYTES, 2)],
+    [(0, 0), (MAX_UNREAD_LARGE_BYTES - 1, 0), (2 * MAX_UNREAD_LARGE_BYTES, 2)],
 )
 def test_large_buffers_stay_within_their_limit(limit_bytes: int, granted: int) -> None:
     buffers = LargeBuffers(limit_bytes)
@@ -81,7 +95,7 @@
 ) -> None:
     """Guards against large bodies that are refused, and buffers that stay large."""
     loop = IoLoop()
-    guard = ClientGuard(loop, large_buffers_bytes=buffers * LARGE_BUFFER_BYTES)
+    guard = ClientGuard(loop, large_buffers_bytes=buffers * MAX_UNREAD_LARGE_BYTES)
     bodies: list[bytes] = []
 
     def handle(request: HttpRequest, exchange: Exchange) -> None:
@@ -128,4 +142,4 @@
     assert own + sum(budget) <= 0.8 * memory_mb * MIB
     # Bodies of the largest size, and of large buffers for them.
     assert budget.held_bytes >= 30 * limits.body_bytes
-    assert budget.large_buffers_bytes >= 30 * LARGE_BUFFER_BYTES
+    assert budget.large_buffers_bytes >= 30 * MAX_UNREAD_LARGE_BYTES
