--- a/src/sardineferry/decision/burst/agent_state.py
+++ b/src/sardineferry/decision/burst/agent_state.py
@@ -339,9 +339,15 @@
         return (self.total or Resources()).minus(self.reserved)
 
     def startable_runs(self) -> int:
-        """Return how many more runs may be started now, whatever they need."""
-        starting = sum(run.status == "starting" for run in self.runs.values())
-        return max(0, min(MAX_STARTING_RUNS - starting, MAX_RUNS - len(self.runs)))
+        """Return how many more runs may be started now, whatever they need.
+
+        Runs that are being stopped count, too, until the worker has confirmed it: else
+        a worker that does not answer would be ordered ever more.
+        """
+        unconfirmed = sum(
+            run.status in ("starting", "stopping") for run in self.runs.values()
+        )
+        return max(0, min(MAX_STARTING_RUNS - unconfirmed, MAX_RUNS - len(self.runs)))
 
     def offered(self) -> Resources:
         """Return the resources that entries may use: none while few runs may start."""
