Refusals of wide jobs in a module of their own; keep them last while full

A job that is limited by runs was placed first again after each placement in which no worker had room. It now stays last until it has been placed without reaching a limit.

--- a/src/sardineferry/decision/burst/entry_callers.py
+++ b/src/sardineferry/decision/burst/entry_callers.py
@@ -32,11 +32,11 @@
 from sardineferry.decision.burst.requests import ShowJob
 from sardineferry.decision.burst.requests import ShowQueue
 from sardineferry.decision.burst.requests import SubmitJob
-from sardineferry.decision.burst.run_limits import MAX_TASKS_PER_JOB
-from sardineferry.decision.burst.run_limits import MIN_WIDE_TASKS
-from sardineferry.decision.burst.run_limits import count_slots
-from sardineferry.decision.burst.run_limits import fits_task_budget
-from sardineferry.decision.burst.run_limits import least_run_ms
+from sardineferry.decision.burst.wide_jobs import ABANDON_AFTER_GOALS
+from sardineferry.decision.burst.wide_jobs import describe_excess
+from sardineferry.decision.burst.wide_jobs import find_task_limit_refusal
+from sardineferry.decision.burst.wide_jobs import find_width_refusal
+from sardineferry.decision.burst.wide_jobs import max_job_ms
 from sardineferry.decision.common_effects import Send
 from sardineferry.messages.burst import StopRuns
 
@@ -47,7 +47,6 @@
     from sardineferry.decision.burst.entry_state import ActiveTask
     from sardineferry.decision.burst.entry_state import BurstEntryState
     from sardineferry.decision.burst.requests import BurstJob
-    from sardineferry.decision.burst.requests import BurstStep
 
 __all__ = [
     "admit_early_jobs",
@@ -64,9 +63,6 @@
     "stop_job_runs",
 ]
 
-# A started job is given up if tasks still wait after this many response-time goals:
-# its callers then have no use for an answer.
-ABANDON_AFTER_GOALS = 3
 # While draining, a job is admitted if it should end this long before the end of the
 # grace period.
 DRAIN_MARGIN_MS = 1_500
@@ -205,7 +201,7 @@
     if route.needs_advice:
         return ("not supported: routes that need advice", 0)
     step = event.job.steps[0]
-    too_many = find_task_limit_refusal(state, step)
+    too_many = find_task_limit_refusal(state, step, DEFAULT_RETRY_MS)
     if too_many is not None:
         return too_many
     profiles = [
@@ -244,13 +240,9 @@
     # A job that another entry runs waits for the ends of these runs, not for capacity.
     if discovering or event.job.job_id in state.other_runs:
         return None
-    if step.tasks >= MIN_WIDE_TASKS:
-        left_ms = max_job_ms(route, step)
-        if event.deadline_ms:
-            left_ms = min(left_ms, event.deadline_ms)
-        needed_ms = least_job_ms(state, event.job, route, step.tasks)
-        if needed_ms > left_ms:
-            return (describe_width(step.tasks, needed_ms, left_ms), 0)
+    too_wide = find_width_refusal(state, event, route)
+    if too_wide is not None:
+        return too_wide
     if is_prioritised(state, route):
         if can_be_overtaken(state, route):
             goal_ms = response_time_goal_ms(route, step.estimate_ms)
@@ -265,53 +257,6 @@
     return None
 
 
-def find_task_limit_refusal(
-    state: BurstEntryState, step: BurstStep
-) -> tuple[str, int] | None:
-    """Return why a job with so many tasks is refused in any case, or None."""
-    if step.tasks > MAX_TASKS_PER_JOB:
-        return (f"{step.tasks} tasks exceed the limit of {MAX_TASKS_PER_JOB}", 0)
-    if not fits_task_budget(step.tasks, state.task_count, state.task_limit):
-        reason = (
-            f"no memory for {step.tasks} tasks beside {state.task_count} of "
-            f"{state.task_limit}"
-        )
-        return (reason, DEFAULT_RETRY_MS)
-    return None
-
-
-def max_job_ms(route: Route, step: BurstStep) -> float:
-    """Return after which time a started job is given up if tasks still wait.
-
-    With a goal that is shorter than a run, the number of tasks is not what makes a job
-    late.
-    """
-    goal_ms = response_time_goal_ms(route, step.estimate_ms)
-    return ABANDON_AFTER_GOALS * max(step.estimate_ms, goal_ms)
-
-
-def least_job_ms(
-    state: BurstEntryState, job: BurstJob, route: Route, tasks: int
-) -> float:
-    """Return how long these tasks wait at least if the job had all workers to itself.
-
-    All known workers count, also those whose agents have no link at present.
-    """
-    step = job.steps[0]
-    slots = [
-        count_slots(view.profile.total, step.need, step.spread_limit)
-        for view in state.agents.values()
-        if can_run_job(view, job, route) and view.profile is not None
-    ]
-    slowdown = state.worker_slowdowns.typical_slowdown()
-    return least_run_ms(tasks, step.estimate_ms, slots, slowdown)
-
-
-def describe_width(tasks: int, needed_ms: float, left_ms: float) -> str:
-    """Return why a job is refused that has too many tasks for all workers."""
-    return f"{tasks} tasks take {needed_ms:.0f} ms at least, {left_ms:.0f} ms are left"
-
-
 class WorkerRates(NamedTuple):
     """Work per ms of all workers that may be sent orders, and this entry's share."""
 
@@ -857,13 +802,12 @@
     if state.is_discovering_workers(now_ms):
         return
     for job in list(state.queue):
-        tasks = job.counts.waiting
-        if tasks < MIN_WIDE_TASKS or job.is_held:
+        if job.is_held:
             continue
         left_ms = job.arrived_ms + max_job_ms(job.route, job.step) - now_ms
-        needed_ms = least_job_ms(state, job.job, job.route, tasks)
-        if needed_ms > left_ms:
-            reason = describe_width(tasks, needed_ms, left_ms)
+        tasks = job.counts.waiting
+        reason = describe_excess(state, job.job, job.route, tasks, left_ms)
+        if reason:
             finish_job(state, job, ReplyKind.NOT_RUN, reason, now_ms)
 
 
--- a/src/sardineferry/decision/burst/entry_placement.py
+++ b/src/sardineferry/decision/burst/entry_placement.py
@@ -187,7 +187,8 @@
                 state, job, preferred, limit, withheld_agents, allowance, now_ms
             )
         allowance -= placed.runs
-        job.is_run_limited = placed.reached_limit
+        if placed.runs:
+            job.is_run_limited = placed.reached_limit
         cpu_ahead += job.step.need.cpu * job.counts.waiting
         if placed.reached_limit:
             # There is capacity left, which later jobs may use.
